--- /dev/null
+++ b/cmd/wirehost/config.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"winghatch/decide"
+)
+
+// settings are the wire's words for decide.Config. Keys that are not named here are ignored.
+type settings struct {
+	Classes []struct {
+		Name, Effect, Group               string
+		AimNs, GiveUpNs, WindowNs         int64
+		AimStretch, Importance, LateWorth float64
+		Stream                            bool
+	}
+	TiersOfService []struct {
+		Name                                     string
+		Refill, MostAtOnce                       float64
+		NeverOverRate, NeverOverDepth, HardSlack float64
+		Parallel                                 int
+		Pays, BeyondEarns, ExcessCost            float64
+	}
+	Extra struct {
+		HasCounter, CostAfter              bool
+		CounterPrice, PeerIntake, UnitsTop float64
+		CountWaitNs, MeterNs               int64
+	}
+	Limits struct {
+		SendCap                                             int
+		ParallelTries, MayCancel, Peers, Probes, RetryAfter bool
+		MaxRetryAfterNs, ConnectTimeoutNs                   int64
+	}
+	Safety struct {
+		AnswerSlackNs, DrainGraceNs, ColdNs, FallNs, AskWithinNs int64
+		ColdFrom, FallMultiple                                   float64
+	}
+	Prices struct {
+		CrossZone, Waste, Probe, Peer, LateFail float64
+	}
+	Telemetry            struct{ How string }
+	Rank, Instances      int
+	MembershipMode, Zone string
+}
+
+func parseConfig(raw json.RawMessage) (decide.Config, error) {
+	var s settings
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return decide.Config{}, fmt.Errorf("ProfileData: %w", fieldOf(err))
+	}
+	c := decide.Config{Rank: s.Rank, Gateways: s.Instances, Zone: s.Zone, SettledLater: s.Extra.CostAfter,
+		MaxUnits: s.Extra.UnitsTop, MeterPeriod: time.Duration(s.Extra.MeterNs), PeerIntake: s.Extra.PeerIntake,
+		Counter: s.Extra.HasCounter, CounterTimeout: time.Duration(s.Extra.CountWaitNs),
+		ReportsOnProbe: s.Telemetry.How == "probe", Subscribe: s.MembershipMode == "subscribe"}
+	c.Limits = decide.Limits{MaxAttempts: s.Limits.SendCap, Parallel: s.Limits.ParallelTries,
+		Cancel: s.Limits.MayCancel, Peers: s.Limits.Peers, Probes: s.Limits.Probes,
+		RetryAfter: s.Limits.RetryAfter, MaxRetryAfter: time.Duration(s.Limits.MaxRetryAfterNs),
+		ConnectTimeout: time.Duration(s.Limits.ConnectTimeoutNs)}
+	c.Safety = decide.Safety{AnswerSlack: time.Duration(s.Safety.AnswerSlackNs),
+		DrainGrace: time.Duration(s.Safety.DrainGraceNs), ColdFrom: s.Safety.ColdFrom,
+		ColdFor: time.Duration(s.Safety.ColdNs), FallMultiple: s.Safety.FallMultiple,
+		FallWindow: time.Duration(s.Safety.FallNs), AskWithin: time.Duration(s.Safety.AskWithinNs)}
+	c.Prices = decide.Prices{CrossZone: s.Prices.CrossZone, Waste: s.Prices.Waste, Probe: s.Prices.Probe,
+		Peer: s.Prices.Peer, LateFail: s.Prices.LateFail, Counter: s.Extra.CounterPrice}
+	effects := map[string]decide.Effect{"safe": decide.Safe, "keyed": decide.Keyed, "unsafe": decide.Unsafe}
+	groups := map[string]decide.Group{"all": decide.GroupAll, "zone": decide.GroupZone,
+		"cell": decide.GroupCell, "": decide.GroupCell}
+	for i, k := range s.Classes {
+		effect, ok := effects[k.Effect]
+		if !ok {
+			return c, fmt.Errorf("ProfileData: Classes[%d].Effect: unknown %q", i, k.Effect)
+		}
+		group, ok := groups[k.Group]
+		if !ok {
+			return c, fmt.Errorf("ProfileData: Classes[%d].Group: unknown %q", i, k.Group)
+		}
+		c.Classes = append(c.Classes, decide.Class{Name: k.Name, Effect: effect, Group: group,
+			Window: time.Duration(k.WindowNs), Aim: time.Duration(k.AimNs), AimStretch: k.AimStretch,
+			Deadline: time.Duration(k.GiveUpNs), Worth: k.Importance, LateWorth: k.LateWorth, Stream: k.Stream})
+	}
+	for _, p := range s.TiersOfService {
+		c.Plans = append(c.Plans, decide.Plan{Name: p.Name, Rate: p.Refill, Burst: p.MostAtOnce,
+			CeilingRate: p.NeverOverRate, CeilingBurst: p.NeverOverDepth, CeilingSlack: p.HardSlack,
+			MaxOpen: p.Parallel, Price: p.Pays, OverWorth: p.BeyondEarns, OverCost: p.ExcessCost})
+	}
+	return c, nil
+}
--- /dev/null
+++ b/decide/api.go
@@ -0,0 +1,371 @@
+// Package decide makes the decisions of a quota-keeping API gateway: whom to let in, which server to
+// send a request to, when to try again and when to stop.
+//
+// A [Gateway] is a plain state machine. The caller owns the clock, the network and the queue of events; it
+// calls [Gateway.Handle] once for each [Event] and carries out the returned actions in order. The package
+// does no I/O, reads no clock, starts no goroutine and keeps no state outside the Gateway: the same
+// configuration, seed and events always give the same actions. A Gateway is not safe for concurrent use.
+//
+// All times are a [time.Duration] since an origin of the caller's choice; they must never run backwards.
+package decide
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Effect says whether a request of a class may run more than once.
+type Effect int
+
+// The effects a class may have.
+const (
+	Unsafe Effect = iota // must never run twice
+	Keyed                // servers of one Group drop a repeat within the class's Window
+	Safe                 // may run any number of times
+)
+
+// Group says which servers drop each other's repeats of a keyed request.
+type Group int
+
+// The groups of servers.
+const (
+	GroupCell Group = iota
+	GroupZone
+	GroupAll
+)
+
+// Class describes a kind of request.
+type Class struct {
+	Name       string
+	Effect     Effect
+	Group      Group         // for Keyed
+	Window     time.Duration // for Keyed: how long a repeat is dropped
+	Aim        time.Duration // an answer within this earns the full worth
+	AimStretch float64       // the aim grows by this multiple of a request's own work
+	Deadline   time.Duration // what a client waits for over all of its tries
+	Worth      float64
+	LateWorth  float64 // part of the worth that an answer past the aim earns
+	Stream     bool
+}
+
+// Plan describes the quota of each customer on it, over all gateways together.
+type Plan struct {
+	Name         string
+	Rate         float64 // units a second; 0 means no such quota
+	Burst        float64 // units at once
+	CeilingRate  float64 // hard ceiling, units a second; 0 means none
+	CeilingBurst float64
+	CeilingSlack float64
+	MaxOpen      int // attempts out at once; 0 means no such quota
+	Price        float64
+	OverWorth    float64 // part of its worth that a request earns when sent on beyond the quota
+	OverCost     float64 // part of its worth that such a request costs
+}
+
+// Limits tells what a gateway is allowed to do.
+type Limits struct {
+	MaxAttempts    int
+	Parallel       bool // two attempts of a request may be out at once
+	Cancel         bool
+	Peers          bool
+	Probes         bool
+	RetryAfter     bool
+	MaxRetryAfter  time.Duration
+	ConnectTimeout time.Duration
+}
+
+// Safety holds the figures of the rules.
+type Safety struct {
+	AnswerSlack  time.Duration
+	DrainGrace   time.Duration
+	ColdFrom     float64       // part of its capacity that a started server has at least
+	ColdFor      time.Duration // it is warm no later than this
+	FallMultiple float64       // work beyond this multiple of its present capacity ...
+	FallWindow   time.Duration // ... for this long makes it fall over
+	AskWithin    time.Duration // with Subscribe: how long an unasked list stays good
+}
+
+// Prices are points taken off the result, each for one unit of what it names.
+type Prices struct {
+	CrossZone, Waste, Probe, Peer, LateFail, Counter float64
+}
+
+// Config is all that a gateway is told when it starts.
+type Config struct {
+	Rank, Gateways int // this gateway's number, from 0, and how many there are
+	Zone           string
+	Classes        []Class
+	Plans          []Plan
+	SettledLater   bool // units told with a request are a guess; the answer tells the true ones
+	MaxUnits       float64
+	MeterPeriod    time.Duration // 0: no meter
+	PeerIntake     float64       // messages a second that a gateway takes in
+	Counter        bool          // a shared counter may be called
+	CounterTimeout time.Duration
+	Limits         Limits
+	Safety         Safety
+	Prices         Prices
+	ReportsOnProbe bool // load reports come with probe results only
+	Subscribe      bool // list changes come only when asked for
+}
+
+func finite(field string, v float64) error {
+	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		return fmt.Errorf("decide: %s is %v, want a number of 0 or more", field, v)
+	}
+	return nil
+}
+
+// Validate reports the first setting that a gateway can't work with.
+func (c *Config) Validate() error {
+	if c.Gateways < 1 {
+		return fmt.Errorf("decide: Gateways is %d, want 1 or more", c.Gateways)
+	}
+	if c.Rank < 0 || c.Rank >= c.Gateways {
+		return fmt.Errorf("decide: Rank is %d, want 0 to %d", c.Rank, c.Gateways-1)
+	}
+	if len(c.Classes) == 0 {
+		return fmt.Errorf("decide: Classes is empty, want one or more")
+	}
+	if c.Limits.MaxAttempts < 1 {
+		return fmt.Errorf("decide: Limits.MaxAttempts is %d, want 1 or more", c.Limits.MaxAttempts)
+	}
+	if c.Safety.ColdFor > 0 && c.Safety.FallWindow <= 0 {
+		return fmt.Errorf("decide: Safety.FallWindow is %v, want more than 0", c.Safety.FallWindow)
+	}
+	for _, f := range []struct {
+		name string
+		v    float64
+	}{{"Safety.ColdFrom", c.Safety.ColdFrom}, {"Safety.FallMultiple", c.Safety.FallMultiple},
+		{"PeerIntake", c.PeerIntake}, {"MaxUnits", c.MaxUnits}} {
+		if err := finite(f.name, f.v); err != nil {
+			return err
+		}
+	}
+	for i, k := range c.Classes {
+		if err := k.validate(fmt.Sprintf("Classes[%d]", i)); err != nil {
+			return err
+		}
+	}
+	for i, p := range c.Plans {
+		if err := p.validate(fmt.Sprintf("Plans[%d]", i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (k *Class) validate(at string) error {
+	if k.Name == "" {
+		return fmt.Errorf("decide: %s.Name is empty", at)
+	}
+	if k.Aim <= 0 {
+		return fmt.Errorf("decide: %s.Aim is %v, want more than 0", at, k.Aim)
+	}
+	return finite(at+".Worth", k.Worth)
+}
+
+func (p *Plan) validate(at string) error {
+	if p.Name == "" {
+		return fmt.Errorf("decide: %s.Name is empty", at)
+	}
+	for _, f := range []struct {
+		name string
+		v    float64
+	}{{"Rate", p.Rate}, {"Burst", p.Burst}, {"CeilingRate", p.CeilingRate},
+		{"CeilingBurst", p.CeilingBurst}, {"CeilingSlack", p.CeilingSlack}, {"MaxOpen", float64(p.MaxOpen)},
+		{"Price", p.Price}, {"OverWorth", p.OverWorth}, {"OverCost", p.OverCost}} {
+		if err := finite(at+"."+f.name, f.v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Outcome tells how an attempt, a probe or a counter call ended.
+type Outcome int
+
+// The outcomes. Full, NoConnection and Moot prove that the attempt never ran.
+const (
+	OK Outcome = 1 + iota
+	Error
+	Full
+	TimedOut
+	NoConnection
+	Reset
+	Cancelled
+	Moot
+)
+
+// neverRan reports whether the outcome proves that the attempt had no effect.
+func (o Outcome) neverRan() bool { return o == Full || o == NoConnection || o == Moot }
+
+// State is what the list of servers says of one of them.
+type State int
+
+// The states of a server.
+const (
+	Serving State = iota
+	Draining
+	Gone
+)
+
+// Server is an entry of the list of servers.
+type Server struct {
+	ID      string
+	Zone    string
+	Cell    int
+	Kind    string
+	State   State
+	Started time.Duration // 0: long ago
+	Weight  float64
+}
+
+// Report is a server's own account of its load, by name of the figure (queue, util, qps, latency_ms,
+// inflight, errors_per_s).
+type Report map[string]float64
+
+// Event is something that a gateway is told.
+type Event interface{ event() }
+
+// FleetKind tells how a FleetUpdate is to be read.
+type FleetKind int
+
+// The kinds of update.
+const (
+	FleetDelta  FleetKind = iota // changed entries only
+	FleetFull                    // the whole list
+	FleetStale                   // the whole list as last held, maybe long out of date
+	FleetFailed                  // asking failed; the former list stays
+)
+
+type (
+	// FleetUpdate brings news of the list of servers.
+	FleetUpdate struct {
+		Kind    FleetKind
+		Version uint64
+		Servers []Server
+	}
+	// Request is a client's request; it must get one final answer before Deadline.
+	Request struct {
+		ID, Class, Plan, Customer string
+		Units                     float64
+		Deadline                  time.Duration
+		First, Spread             int // the customer's gateways: number of the first, and how many
+		Again                     bool
+		Write                     bool
+	}
+	// AnswerStarted says that a streamed answer has begun.
+	AnswerStarted struct {
+		ID, Server string
+		Attempt    int
+		Took       time.Duration
+	}
+	// AttemptEnded tells how an attempt ended. Done: the request is finished.
+	AttemptEnded struct {
+		ID, Server string
+		Attempt    int
+		Outcome    Outcome
+		Took       time.Duration
+		Done       bool
+		Metered    int     // 1 + the customer's use in percent of its rate; 0: not told
+		TrueUnits  float64 // 0: not told
+		Report     Report
+	}
+	// ClientGone says that the client left; no answer is owed.
+	ClientGone struct{ ID string }
+	// TimerFired is the answer to SetTimer.
+	TimerFired struct{ Token uint64 }
+	// ProbeEnded is the answer to Probe.
+	ProbeEnded struct {
+		Server  string
+		Outcome Outcome
+		Took    time.Duration
+		Report  Report
+	}
+	// PeerMessage is what another gateway told.
+	PeerMessage struct {
+		From int
+		Text string
+	}
+	// Counted is the answer to Count.
+	Counted struct {
+		Name    uint64
+		Outcome Outcome
+		Total   float64
+		Took    time.Duration
+	}
+)
+
+func (FleetUpdate) event()   {}
+func (Request) event()       {}
+func (AnswerStarted) event() {}
+func (AttemptEnded) event()  {}
+func (ClientGone) event()    {}
+func (TimerFired) event()    {}
+func (ProbeEnded) event()    {}
+func (PeerMessage) event()   {}
+func (Counted) event()       {}
+
+// Action is something that a gateway wants done.
+type Action interface{ action() }
+
+type (
+	// Send starts an attempt. A request's attempts are numbered from 0.
+	Send struct {
+		ID, Server string
+		Timeout    time.Duration // 0: until the client gives up
+	}
+	// Cancel stops waiting for an attempt.
+	Cancel struct {
+		ID      string
+		Attempt int
+	}
+	// Refuse is a final answer that promises the client that trying again does no harm.
+	Refuse struct {
+		ID         string
+		RetryAfter time.Duration // 0: no advice
+	}
+	// Fail is a final answer that promises nothing.
+	Fail struct{ ID string }
+	// SetTimer asks for a TimerFired.
+	SetTimer struct {
+		At    time.Duration
+		Token uint64
+	}
+	// Probe asks a server for its load.
+	Probe struct{ Server string }
+	// CloseIdle drops the idle connections to a server.
+	CloseIdle struct{ Server string }
+	// Subscribe asks for changes of the list of servers, or no more of them.
+	Subscribe struct{ On bool }
+	// FetchList asks for the whole list once.
+	FetchList struct{}
+	// Tell sends a message to one peer.
+	Tell struct {
+		To   int
+		Text string
+	}
+	// Count adds to a named number of the shared counter.
+	Count struct {
+		Name uint64
+		Add  float64
+		TTL  time.Duration
+	}
+	// Log adds a line to the operator's log.
+	Log struct{ Text string }
+)
+
+func (Send) action()      {}
+func (Cancel) action()    {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (SetTimer) action()  {}
+func (Probe) action()     {}
+func (CloseIdle) action() {}
+func (Subscribe) action() {}
+func (FetchList) action() {}
+func (Tell) action()      {}
+func (Count) action()     {}
+func (Log) action()       {}
--- /dev/null
+++ b/decide/cold_test.go
@@ -0,0 +1,49 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestColdServerOverAllGateways: of 300 gateways with two and a half requests a second each, all together send a
+// server that starts a trickle: some of what a warm one gets, less than the rule allows, and not one request each.
+func TestColdServerOverAllGateways(t *testing.T) {
+	var servers []Server
+	for i := 0; i < 20; i++ {
+		servers = append(servers, Server{ID: fmt.Sprint("s", i), Zone: "a"})
+	}
+	cfg := testConfig()
+	cfg.Limits.Peers = false // the quota is no matter here
+	cfg.Gateways = 300
+	cold, warm := 0, 0
+	for i := 0; i < cfg.Gateways; i++ {
+		cfg.Rank = i
+		g, err := New(cfg, int64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.Handle(0, FleetUpdate{Kind: FleetFull, Servers: servers})
+		for n := 0; n < 30; n++ {
+			now := time.Duration(n+1) * 400 * ms
+			g.Handle(now, TimerFired{beatToken})
+			if n == 25 {
+				g.Handle(now, FleetUpdate{Kind: FleetDelta, Servers: []Server{{ID: "s0", Zone: "a", Started: now}}})
+			}
+			id := fmt.Sprint(n)
+			for _, s := range find[Send](g.Handle(now, Request{ID: id, Class: "get", Plan: "wide", Customer: "x",
+				Units: 1, Deadline: now + time.Second, Spread: 1})) {
+				if n >= 25 && s.Server == "s0" {
+					cold++
+				} else if n >= 25 {
+					warm++
+				}
+				g.Handle(now+50*ms, AttemptEnded{ID: id, Server: s.Server, Outcome: OK, Took: 50 * ms, Done: true})
+			}
+		}
+	}
+	usual := float64(warm) / 19
+	if most := cfg.Safety.FallMultiple * 0.4 * usual; float64(cold) > most || cold == 0 {
+		t.Errorf("the cold server got %d in 2 s, a warm one %v: want some, %v at most", cold, usual, most)
+	}
+}
--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,915 @@
+// This file holds every decision and every tuned constant; decide/api.go the interface, state.go what a
+// gateway keeps, codec.go the digits of messages. Read it in this order: constants; how events are taken;
+// quota; sharing; homes; choice and health of servers; attempts and deadlines; guards of the rules.
+
+package decide
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Quota.
+const (
+	partMemory  = 2 * time.Second // memory of asked units: long against gaps, short against shifts of traffic
+	partPrior   = 0.05            // seconds of the even slice mixed in: steadies rare askers
+	startLevel  = 0.5             // of the mark: level after a start, as the past is unknown
+	peerStale   = 1 * time.Second // a peer not heard for this long no longer settles buckets
+	meterStale  = 3 * time.Second // the meter is late; older totals say nothing
+	meterGrow   = 1.02            // of the factor on the part, a report ...
+	meterShrink = 0.95            // ... while the metered total exceeds the rate
+	forgetAfter = time.Minute     // idle customers are dropped; every bucket and store is as new by then
+	slackPart   = 0.9             // of the ceiling's slack is used: the rest is for rounding
+)
+
+// Sharing.
+const (
+	intakePart = 0.8                    // of the stated intake is used by all peers together
+	askedStep  = 0.25                   // of the burst: asked units that are worth telling
+	quietBeat  = 400 * time.Millisecond // an idle peer still says that it lives
+)
+
+// Homes, where the intake is too small for telling everyone.
+const (
+	meshPace   = 2.0                    // messages a second between any two: under it customers have homes
+	homes      = 2                      // of a customer; the second stands in for a silent first
+	askIntake  = 0.4                    // of the intake is for questions; beyond it refused ones wait longer
+	askFirst   = 30 * time.Millisecond  // wait for a home's word, until round trips were seen ...
+	askWaits   = 2.0                    // ... then so many times the usual one, and askLeast more
+	askLeast   = 12 * time.Millisecond  // a turn or two of either side
+	homeSilent = 1 * time.Second        // a home that twice gave no answer is not asked for so long
+	grantsKept = 3 * time.Second        // a home knows for so long what it granted
+	grantUse   = 100 * time.Millisecond // a grant under a ceiling is used within this, which the slack bears
+	waitMost   = 30 * time.Second       // longest wait that a home puts on those it refuses
+	waitLeast  = 0.1                    // seconds that refused ones wait where questions fill the intake ...
+	waitGrow   = 1.15                   // ... and longer with each ...
+	waitShrink = 0.9                    // ... and less where they don't
+	homeBeat   = 100 * time.Millisecond // pace of the upkeep
+)
+
+// Servers.
+const (
+	baseGain   = 0.03            // gain of a class's usual time: slow, it is the fleet's yardstick
+	slowGain   = 0.2             // gain of a server's slowness against that: a few answers tell
+	firstGuess = 0.2             // of the aim: the usual time before any answer
+	slowMemory = 2 * time.Second // slowness fades at least so slowly: the unused get another look
+	crossZone  = 1.03            // factor on the estimate of a server in another zone
+	coldMargin = 0.5             // of the cold budget is used: costs vary and others' traffic is guessed
+	memoryOf   = 4.0             // answers of a server are how long its slowness is known ...
+	memoryMost = 20.0            // ... in seconds, this at most
+	missFades  = 2.0             // times that: known of a class's failures
+	missGain   = 0.25            // gain of a server's share of a class's requests that it leaves or fails
+	newsOf     = 3               // sights that a word carries: twice as many made the flow react to chance
+	missNear   = 0.2             // over the least such share: as good as the best
+	lookAt     = 16              // servers, from a random one on, are looked at for a request
+)
+
+// Attempts.
+const (
+	ghostFor    = 1500 * time.Millisecond // work that nobody waits for counts as load no longer than this
+	waitPart    = 0.7                     // work that nobody waits for counts as load for so long
+	openLeast   = 3.0                     // attempts out a server, of all gateways, that are always allowed
+	aimMargin   = 6 * time.Millisecond    // an answer must be back at the client within the aim
+	overdueX    = 4.0                     // times its estimate: an attempt is overdue
+	overdueMin  = 150 * time.Millisecond
+	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
+	budgetMost  = 10.0 // ... up to this many
+	openFree    = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
+	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
+	flowShrink  = 0.85 // of the flow let in on thin evidence, for each answer missed here or as told ...
+	flowGrow    = 1.03 // ... and for each that came: it holds where one of six is missed
+	flowLeast   = 0.08 // the flow that finds out that a jam is over
+	flowMost    = 2.2  // over 1 nothing is shed: room for chance
+	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
+	retryAdvice = 200 * time.Millisecond
+)
+
+// Handle takes one event at the time now and returns what is to be done, in order.
+func (g *Gateway) Handle(now time.Duration, ev Event) []Action {
+	g.out = nil
+	g.now = max(now, g.now)
+	if !g.begun {
+		g.begun, g.started = true, g.now
+		g.do(SetTimer{g.now + g.beatEvery(), beatToken})
+	}
+	switch e := ev.(type) {
+	case FleetUpdate:
+		g.fleet(e)
+	case Request:
+		g.request(e)
+	case AnswerStarted:
+		if a := g.attempt(e.ID, e.Attempt); a != nil {
+			g.requests[e.ID].streaming = true
+			a.server.lastGood = g.now
+		}
+	case AttemptEnded:
+		g.ended(e)
+	case ClientGone:
+		g.finish(g.requests[e.ID])
+	case TimerFired:
+		g.timer(e.Token)
+	case PeerMessage:
+		g.heard(e)
+	}
+	return g.out
+}
+
+func (g *Gateway) timer(token uint64) {
+	if token == beatToken {
+		g.beat()
+		return
+	}
+	ref, ok := g.timers[token]
+	delete(g.timers, token)
+	if r := g.requests[ref.id]; ok && ref.n < 0 && r != nil && r.asking {
+		g.unheard(r, ref.due)
+	} else if a := g.attempt(ref.id, ref.n); ok && a != nil && !a.over {
+		g.overdue(r, a)
+	}
+}
+
+// ---- Quota.
+
+// leak brings a customer's buckets, store and part up to now.
+func (g *Gateway) leak(c *customer) {
+	dt := (g.now - c.at).Seconds()
+	c.at = g.now
+	c.level = max(0, c.level-c.part*c.plan.Rate*dt)
+	c.whole = max(0, c.whole-c.plan.Rate*dt)
+	even := 1 / float64(c.spread)
+	slice := even
+	if !g.mesh {
+		slice = 1.0 / homes
+	}
+	c.store = min(c.store+c.plan.CeilingRate*slice*dt, c.plan.CeilingBurst*slice)
+	own := c.asked.get(g.now) + partPrior*c.plan.Rate*even
+	if !g.mesh && g.now-c.toldAt < partMemory {
+		c.part = min(1, max(even, own/max(own, c.asksAll)))
+		return
+	}
+	all := own
+	oldest := g.now
+	for i := range g.peers {
+		if i != g.cfg.Rank && g.inSet(c, i) {
+			all += c.told[i].rate.get(g.now) + partPrior*c.plan.Rate*even
+			if oldest = min(oldest, g.peers[i].heard); !g.peers[i].known {
+				oldest = g.now - peerStale
+			}
+		}
+	}
+	c.part = even
+	if g.now-oldest >= peerStale || all == 0 || (len(g.peers) == 0 && c.spread > 1) {
+		if c.metered > 0 && g.now-c.meteredAt < meterStale {
+			c.part = max(even, min(1, c.factor*c.used.get(g.now)/c.metered))
+		}
+		return
+	}
+	c.part = max(even, own/all)
+	if c.spread > 1 && oldest > c.settled {
+		if c.settled = oldest; all <= c.plan.Rate {
+			c.level = 0 // else all contend for what leaks: each takes its part alone
+		}
+		c.level = max(c.level, c.part*c.whole)
+	}
+}
+
+// admit decides whether the quota has room.
+func (g *Gateway) admit(c *customer, r *request) bool {
+	g.leak(c)
+	c.asked.add(g.now, r.units)
+	if c.askedSum += r.units; c.askedSum-c.askedTold > askedStep*c.plan.Burst {
+		c.askedTold = c.askedSum
+		g.tellSoon(c, 0, len(g.peers)) // what was sent on is told at once, what was only asked by the step
+	}
+	return c.room(r.units) && (c.plan.CeilingRate == 0 || // an even slice of the store, empty at a start
+		c.store+slackPart*c.plan.CeilingSlack/float64(c.spread) >= r.units)
+}
+
+func (c *customer) room(units float64) bool {
+	return (c.plan.Rate == 0 || c.level+c.part*units <= c.part*c.plan.Burst) &&
+		(c.plan.MaxOpen == 0 || float64(c.open) < math.Ceil(c.part*float64(c.plan.MaxOpen)))
+}
+
+// meter takes what an answer tells of the customer's use; it decides the part where peers are silent.
+func (g *Gateway) meter(c *customer, percent int) {
+	c.metered, c.meteredAt = float64(percent-1)/100*c.plan.Rate, g.now
+	c.factor = min(1, c.factor*meterGrow)
+	if c.metered > c.plan.Rate {
+		c.factor *= meterShrink
+	}
+}
+
+func (g *Gateway) charge(c *customer, units float64) {
+	c.level += units
+	if g.mesh {
+		c.whole += units
+	}
+	c.usedSum += units
+	c.used.add(g.now, units)
+	g.tellSoon(c, 0, len(g.peers))
+}
+
+// ---- Sharing.
+
+// tellsAll reports whether the intake lets every gateway tell every other often enough.
+func (g *Gateway) tellsAll() bool {
+	return !g.cfg.Limits.Peers || intakePart*g.cfg.PeerIntake >= meshPace*float64(g.cfg.Gateways-1)
+}
+
+func (g *Gateway) beatEvery() time.Duration {
+	if !g.mesh {
+		return homeBeat
+	}
+	perS := intakePart * g.cfg.PeerIntake / float64(max(1, g.cfg.Gateways-1))
+	return time.Duration(float64(time.Second) / max(perS, 1))
+}
+
+// tellSoon queues what is known of a customer for the gateways of those numbers that are in its set.
+func (g *Gateway) tellSoon(c *customer, from, to int) {
+	for i := from; i < to; i++ {
+		if i != g.cfg.Rank && g.inSet(c, i) && !c.queued[i] {
+			c.queued[i] = true
+			g.peers[i].queue = append(g.peers[i].queue, c)
+		}
+	}
+}
+
+func (g *Gateway) beat() {
+	g.do(SetTimer{g.now + g.beatEvery(), beatToken})
+	for i := range g.peers {
+		p := &g.peers[i]
+		if i == g.cfg.Rank || (len(p.queue) == 0 && g.now-p.sent < quietBeat) {
+			continue
+		}
+		p.sent, p.mySeq = g.now, (p.mySeq+1)%4096
+		g.do(Tell{i, g.message(i, p)})
+	}
+	g.survey()
+	g.sweep()
+}
+
+func (g *Gateway) message(i int, p *peer) string {
+	var b strings.Builder
+	encodeHead(&b, g.epoch, p.mySeq)
+	n := min(len(p.queue), (maxMessage-msgHead)/msgEntry)
+	for _, c := range p.queue[:n] {
+		c.queued[i] = false
+		g.leak(c)
+		c.encode(&b)
+	}
+	p.queue = append([]*customer(nil), p.queue[n:]...)
+	return b.String()
+}
+
+// heard takes a peer's message. Totals make lost and repeated messages harmless, the number makes late
+// ones so, the epoch a restart of the peer.
+func (g *Gateway) heard(e PeerMessage) {
+	epoch, seq, ok := parseHead(e.Text)
+	other := e.From >= 0 && e.From < g.cfg.Gateways && e.From != g.cfg.Rank
+	if other && !g.mesh {
+		g.word(e.From, e.Text)
+	}
+	if !ok || !other || len(g.peers) == 0 {
+		return
+	}
+	p := &g.peers[e.From]
+	if p.known && p.epoch == epoch && diff(p.seq, seq) <= 0 {
+		return
+	}
+	if !p.known || p.epoch != epoch {
+		g.greet(e.From, p)
+	}
+	p.epoch, p.seq, p.known, p.heard = epoch, seq, true, g.now
+	for s := e.Text[msgHead:]; s != ""; s = s[msgEntry:] {
+		g.learn(e.From, p, s[:msgEntry])
+	}
+}
+
+// greet meets a new life of a peer: its totals begin anew, and it is told all there is to tell.
+func (g *Gateway) greet(i int, p *peer) {
+	p.younger = p.known
+	for _, c := range g.queue {
+		c.told[i].have = false
+		g.tellSoon(c, i, i+1)
+	}
+}
+
+func (g *Gateway) learn(from int, p *peer, s string) {
+	key, planNo, used, asked, level := parseEntry(s)
+	if planNo >= len(g.cfg.Plans) {
+		return
+	}
+	c := g.customer(key, planNo)
+	g.leak(c)
+	t := &c.told[from]
+	if !t.have {
+		t.have = true
+		if p.younger {
+			t.used, t.asked = 0, 0
+		} else {
+			t.used, t.asked = used, asked
+			c.whole = max(c.whole, level*c.plan.Burst)
+		}
+	}
+	c.whole = max(0, c.whole+diff(t.used, used))
+	t.rate.add(g.now, max(0, diff(t.asked, asked)))
+	t.used, t.asked = used, asked
+}
+
+// ---- Homes. Where the intake is too small for telling everyone, a gateway's part of a mark is less than one
+// request and what it last heard is older than the bucket. There the bucket of the whole customer stands at
+// its home, and a request waits for the home's word, a few turns, before this gateway's bucket decides.
+
+// home is the number of the nth gateway that keeps the customer's bucket, the same at every gateway.
+func (g *Gateway) home(key uint64, n int) int {
+	first := int(key % uint64(g.cfg.Gateways))
+	if n == 0 {
+		return first
+	}
+	return (first + 1 + int(key>>18%uint64(g.cfg.Gateways-1))) % g.cfg.Gateways
+}
+
+// ask gets the home's word on a request. Each home is asked twice, as words may be lost; one that was silent
+// is left out for a while. Without any word the gateway's own bucket decides, but nothing passes a ceiling.
+func (g *Gateway) ask(r *request) {
+	c := r.cust
+	for ; r.asked < 2*homes && g.now < r.until; r.asked++ {
+		i := g.home(c.key, r.asked/2)
+		if i == g.cfg.Rank {
+			ok, _ := g.grant(c, i, r.no, r.units)
+			r.granted = i
+			g.decide(r, ok)
+			return
+		}
+		if g.silent[i] > g.now {
+			continue
+		}
+		r.asked++
+		if r.asking = true; r.askedAt == 0 {
+			r.askedAt = g.now
+		}
+		g.asks[r.no] = r
+		g.tell(i, 'a', c, r.no, r.units)
+		g.wake(r.ID, -1, min(r.until, g.now+askLeast+time.Duration(askWaits*float64(g.trip))))
+		return
+	}
+	r.asking = false
+	g.leak(c)
+	g.decide(r, c.plan.CeilingRate == 0 && c.room(r.units))
+}
+
+// unheard takes that a home gave no answer in time. A gateway that itself stood still waits a little more:
+// the answer may be among all that it finds now.
+func (g *Gateway) unheard(r *request, due time.Duration) {
+	if g.now-due > askLeast && g.now < r.until {
+		g.wake(r.ID, -1, min(r.until, g.now+askLeast))
+		return
+	}
+	if r.asked%2 == 0 {
+		g.silent[g.home(r.cust.key, r.asked/2-1)] = g.now + homeSilent
+	}
+	delete(g.asks, r.no)
+	g.ask(r)
+}
+
+// grant decides as a home, by the bucket of the whole customer, and tells how long those refused may wait.
+// It guards quota, cap on attempts out and ceiling; a question that comes twice gets the same answer once.
+func (g *Gateway) grant(c *customer, from int, no uint64, units float64) (ok bool, wait float64) {
+	g.leak(c)
+	out := 0
+	for i := range c.grants {
+		d := &c.grants[i]
+		if d.from == from && d.no == no {
+			return d.ok, c.wait
+		}
+		d.out = d.out && (g.now-d.at).Seconds() < g.quickest
+		out += b2i(d.out)
+	}
+	c.grants = slices.DeleteFunc(c.grants, func(d grant) bool { return g.now-d.at > grantsKept })
+	c.fleet.add(g.now, units)
+	ok = (c.plan.Rate == 0 || c.whole+units <= c.plan.Burst) &&
+		(c.plan.MaxOpen == 0 || out < c.plan.MaxOpen) && (c.plan.CeilingRate == 0 || c.store >= units)
+	if ok {
+		c.whole += units
+		c.store -= units
+	}
+	if !ok && g.askRate.get(g.now) > askIntake*g.cfg.PeerIntake {
+		c.wait = min(waitMost.Seconds(), max(c.wait, waitLeast)*waitGrow)
+	} else {
+		c.wait *= waitShrink
+	}
+	c.grants = append(c.grants, grant{from, no, g.now, ok, ok && c.plan.MaxOpen > 0})
+	return ok, c.wait
+}
+
+// tellEnd settles a request with the home that granted it: true units, and that its attempt is over.
+func (g *Gateway) tellEnd(r *request, more float64) {
+	if r.granted < 0 || (more == 0 && r.cust.plan.MaxOpen == 0) {
+		return
+	}
+	if r.granted == g.cfg.Rank {
+		g.settle(r.cust, g.cfg.Rank, r.no, more)
+	} else {
+		g.tell(r.granted, 'd', r.cust, r.no, more)
+	}
+}
+
+func (g *Gateway) settle(c *customer, from int, no uint64, more float64) {
+	for i := range c.grants {
+		if d := &c.grants[i]; d.from == from && d.no == no && d.ok {
+			g.leak(c)
+			c.whole = max(0, c.whole+more)
+			d.out = false
+		}
+	}
+}
+
+// word takes a word of another gateway. What is malformed, unknown or comes to the wrong home is dropped.
+func (g *Gateway) word(from int, text string) {
+	w, ok := parseWord(text)
+	if !ok || w.plan >= len(g.cfg.Plans) {
+		return
+	}
+	for _, v := range w.sights[:w.seen] {
+		if s := g.shorts[v.server]; s != nil && v.class < len(g.cfg.Classes) {
+			g.note(s, g.classes[g.cfg.Classes[v.class].Name], v.x, v.missed, v.failed)
+		}
+	}
+	delete(g.silent, from)
+	mine := g.home(w.key, 0) == g.cfg.Rank || g.home(w.key, 1) == g.cfg.Rank
+	switch {
+	case w.kind == 'a' && w.n == 1 && w.v[0] >= 0 && mine:
+		g.askRate.add(g.now, 1)
+		c := g.customer(w.key, w.plan)
+		ok, wait := g.grant(c, from, w.no, w.v[0])
+		g.tell(from, 'r', c, w.no, float64(b2i(ok)), c.whole, c.fleet.get(g.now), wait)
+	case w.kind == 'd' && w.n == 1 && mine:
+		g.settle(g.customer(w.key, w.plan), from, w.no, w.v[0])
+	case w.kind == 'r' && w.n == 4:
+		g.answer(from, w)
+	}
+}
+
+// answer takes the home's word: it settles part and level, and then the bucket decides.
+func (g *Gateway) answer(from int, w word) {
+	r := g.asks[w.no]
+	if r == nil || r.cust.key != w.key {
+		return
+	}
+	ok, whole := w.v[0] > 0, w.v[1]
+	delete(g.asks, w.no)
+	if r.asked == 1 {
+		g.trip += time.Duration(0.1 * float64(g.now-r.askedAt-g.trip))
+	}
+	r.asking = false
+	c := r.cust
+	ok = ok && (c.plan.CeilingRate == 0 || g.now-r.askedAt <= grantUse)
+	c.asksAll, c.toldAt = w.v[2], g.now
+	g.leak(c)
+	c.level = c.part * whole
+	if ok {
+		r.granted = from
+	} else {
+		leaks := min(1, (whole+r.units-c.plan.Burst)/max(c.plan.Rate, 1e-9))
+		c.shut = g.now + time.Duration(max(w.v[3], leaks)*float64(time.Second))
+	}
+	g.decide(r, ok)
+}
+
+// ---- Choice and health of servers.
+
+func (g *Gateway) fleet(e FleetUpdate) {
+	if e.Kind == FleetFailed {
+		return
+	}
+	listed := map[string]bool{}
+	for _, s := range e.Servers {
+		listed[s.ID] = true
+		g.listed(s, e.Kind == FleetStale)
+	}
+	if e.Kind != FleetDelta {
+		for _, s := range g.order {
+			if !listed[s.ID] {
+				s.State = Gone
+			}
+		}
+	}
+	g.survey()
+}
+
+func (g *Gateway) listed(e Server, stale bool) {
+	s := g.server(e.ID)
+	if e.Started > s.Started && e.Started+g.cfg.Safety.ColdFor > g.now {
+		s.coldUntil, s.budget, s.budgetAt = e.Started+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
+		s.slow = 1
+		clear(s.miss)
+	}
+	s.Server = e
+}
+
+// estimate is the time in seconds that an answer of the server to a request of the class should take.
+func (g *Gateway) estimate(s *server, k *class) float64 {
+	return k.base * g.slowness(s) * (1 + g.load(s)) / (1 + s.outAvg)
+}
+
+// slowness is a server's, faded by the time since its last answer.
+func (g *Gateway) slowness(s *server) float64 {
+	return 1 + (s.slow-1)*math.Exp(-(g.now-s.slowAt).Seconds()/g.memory())
+}
+
+// memory is how long, in seconds, what is known of a server holds: longer where answers of it are rare.
+func (g *Gateway) memory() float64 {
+	return min(memoryMost, max(slowMemory.Seconds(), memoryOf*g.all.serving/max(g.seen.get(g.now), 1e-3)))
+}
+
+// missed is the share of a class's requests that a server leaves unanswered or fails.
+func (g *Gateway) missed(s *server, k *class) float64 {
+	m := &s.miss[k.no]
+	return m.v * math.Exp(-(g.now-m.at).Seconds()/(missFades*g.memory()))
+}
+
+// note takes how a request of a class fared at a server, here or at a gateway that told it: x times the usual
+// time, answered or not, or an error. It guards against servers that are slow or fail one class and serve the
+// others; it should catch what a server's age, a bad disk or a lost dependency do too, whoever met it first.
+// It could harm a server that only costly requests went to.
+func (g *Gateway) note(s *server, k *class, x float64, missed, failed bool) {
+	g.seen.add(g.now, 1)
+	v, to := g.missed(s, k), 0.0
+	if missed {
+		to = 1
+	}
+	s.miss[k.no] = rate{v + missGain*(1+g.thin())*(to-v), g.now}
+	if missed && !failed {
+		g.flow = max(flowLeast, g.flow*flowShrink)
+	} else if !missed {
+		g.flow = min(flowMost, g.flow*flowGrow)
+	}
+	s.slow, s.slowAt = g.slowness(s), g.now
+	if !missed || x > s.slow {
+		s.slow += slowGain * (min(x, 20) - s.slow)
+	}
+}
+
+// saw notes how an own request fared and keeps it to be told.
+func (g *Gateway) saw(s *server, k *class, took time.Duration, missed, failed bool) {
+	x := took.Seconds() / max(k.base, 1e-6)
+	g.note(s, k, x, missed, failed)
+	g.news.add(sight{s.short, k.no, x, missed, failed})
+	if !missed {
+		k.n++
+		k.base += max(baseGain, 1/k.n) * (took.Seconds() - k.base)
+	}
+}
+
+// load is what this gateway has at the server: attempts out, and ghosts. A jammed server works on what has
+// timed out while its attempts out look few; without ghosts the jam feeds itself. Where a server drops such
+// work the first later answer clears them, so they cost little.
+func (g *Gateway) load(s *server) float64 {
+	for len(s.ghosts) > 0 && g.now-s.ghosts[0] > ghostFor {
+		s.ghosts = s.ghosts[1:]
+		g.all.open--
+	}
+	return float64(s.out + len(s.ghosts))
+}
+
+// coldRate guards the rule on cold servers: requests a second that this gateway may send to it. What this
+// gateway sends a usual server is its own share of the fleet's traffic, so that all gateways together stay
+// within the multiple without agreement.
+func (g *Gateway) coldRate(s *server) float64 {
+	warm := g.all.sends / max(g.all.warm, 1)
+	f := g.cfg.Safety.ColdFrom
+	age := 1 - (s.coldUntil-g.now).Seconds()/g.cfg.Safety.ColdFor.Seconds()
+	return coldMargin * g.cfg.Safety.FallMultiple * (f + (1-f)*age) * warm
+}
+
+func (g *Gateway) survey() {
+	all := survey{}
+	for _, o := range g.order {
+		if o.State != Serving {
+			continue
+		}
+		all.serving++
+		all.open += g.load(o)
+		if o.coldUntil <= g.now {
+			all.warm++
+			all.sends += o.sends.get(g.now)
+		}
+	}
+	g.all = all
+}
+
+func (g *Gateway) cold(s *server) bool {
+	if s.coldUntil <= g.now {
+		return false
+	}
+	s.budget = min(1, s.budget+g.coldRate(s)*(g.now-s.budgetAt).Seconds())
+	s.budgetAt = g.now
+	return s.budget < 1
+}
+
+// usable reports whether a request may go to the server by health and by the rules.
+func (g *Gateway) usable(s *server, r *request) bool {
+	return s.State == Serving && !g.cold(s) && g.mayRepeatAt(r, s)
+}
+
+// choose takes the server with the least estimate; last is the one that failed the request before. Where
+// answers of a server are too rare to know its load, it takes the better of two at random, of those that fail
+// the class little more than the best looked at: all would else run to the same few servers.
+func (g *Gateway) choose(r *request, last *server) (*server, float64) {
+	var found [lookAt]*server
+	best, n, least, cost := (*server)(nil), 0, 1.0, 0.0
+	for i, from := 0, g.rng.Intn(max(1, len(g.order))); i < len(g.order) && n < lookAt; i++ {
+		s := g.order[(from+i)%len(g.order)]
+		if !g.usable(s, r) {
+			continue
+		}
+		found[n] = s
+		n++
+		least = min(least, g.missed(s, r.class))
+	}
+	most := n
+	if g.thin() == 1 {
+		most = 2
+	}
+	for _, s := range found[:n] {
+		miss := g.missed(s, r.class)
+		if miss > least+missNear || most == 0 {
+			continue
+		}
+		most--
+		c := g.estimate(s, r.class) / max(0.2, 1-miss) * (1 + 0.02*g.rng.Float64())
+		if s.Zone != g.cfg.Zone {
+			c *= crossZone
+		}
+		if s == last {
+			c *= 3
+		}
+		if best == nil || c < cost {
+			best, cost = s, c
+		}
+	}
+	if best == nil {
+		return nil, 0
+	}
+	return best, g.estimate(best, r.class)
+}
+
+// thin is 1 where this gateway sees fewer answers in its memory than there are servers, and less where more.
+func (g *Gateway) thin() float64 {
+	return min(1, g.all.serving/max(g.done.get(g.now)*partMemory.Seconds(), 1))
+}
+
+// ---- Attempts and deadlines.
+
+func (g *Gateway) request(e Request) {
+	if g.requests[e.ID] != nil {
+		return
+	}
+	k, planNo, ok := g.classes[e.Class], 0, false
+	if planNo, ok = g.plans[e.Plan]; k == nil || !ok {
+		g.do(Refuse{ID: e.ID})
+		return
+	}
+	r := &request{Request: e, class: k, units: max(0, e.Units), until: e.Deadline}
+	if k.LateWorth == 0 && !k.Stream && k.AimStretch == 0 {
+		r.until = min(e.Deadline, g.now+max(0, k.Aim-aimMargin))
+	}
+	c := g.customer(shortKey(e.Customer), planNo)
+	if e.Spread > 0 && e.Spread <= g.cfg.Gateways && (c.spread != e.Spread || c.first != e.First) {
+		c.first, c.spread = e.First%g.cfg.Gateways, e.Spread
+		c.store = min(c.store, c.plan.CeilingBurst/float64(c.spread))
+	}
+	r.cust, r.granted = c, -1
+	g.requests[e.ID] = r
+	switch {
+	case g.mesh:
+		g.decide(r, g.admit(c, r))
+	case c.shut > g.now || g.shed(r): // a home is not asked in vain
+		c.asked.add(g.now, r.units)
+		g.decide(r, false)
+	default:
+		c.asked.add(g.now, r.units)
+		g.askNo = g.askNo%4095 + 1
+		r.no = g.askNo
+		g.ask(r)
+	}
+}
+
+// decide ends the wait of a request: it is sent on if the quota has room and the servers have.
+func (g *Gateway) decide(r *request, room bool) {
+	s, cost := (*server)(nil), 0.0
+	if room {
+		s, cost = g.choose(r, nil)
+	}
+	if s == nil || cost > shedTo*(r.until-g.now).Seconds() || (g.mesh && g.shed(r)) {
+		r.more = -r.units
+		g.refuse(r.ID)
+		g.finish(r)
+		return
+	}
+	r.cust.store -= r.units
+	g.charge(r.cust, r.units)
+	g.budget = min(budgetMost, g.budget+budgetPart)
+	g.send(r, s)
+}
+
+// pressed is the open work over its cap. By Little's law open work is the answers a second times their time,
+// so a cap at the answers that do come times the time they should take holds the wait down whatever the
+// servers can do, and closes when they jam. A few may always be out, to find out that a jam is over.
+func (g *Gateway) pressed() float64 {
+	n := g.all.serving
+	seen := 1 - math.Exp(-max(g.now-g.started, time.Second/4).Seconds()/partMemory.Seconds())
+	mine := g.done.get(g.now) / seen * waitPart * g.quickest
+	return max(0, g.all.open-openFree*g.thin()) / max(mine, openLeast*n/float64(g.cfg.Gateways))
+}
+
+// shed decides whether the wait is too long for what the request is worth.
+func (g *Gateway) shed(r *request) bool {
+	value := r.class.Worth * r.cust.plan.Price * r.units / max(r.class.base, 1e-6)
+	g.value += 0.01 * (value - g.value)
+	f := shedFrom + (1-shedFrom)*min(1, value/max(g.value, 1e-9))
+	return g.pressed() > f || g.rng.Float64() > math.Pow(g.flow, g.thin()*g.thin()*(1+1/f)/2)
+}
+
+func (g *Gateway) refuse(id string) {
+	a := Refuse{ID: id}
+	if g.cfg.Limits.RetryAfter {
+		a.RetryAfter = min(g.cfg.Limits.MaxRetryAfter, retryAdvice)
+	}
+	g.do(a)
+}
+
+func (g *Gateway) send(r *request, s *server) {
+	a := &attempt{server: s, n: len(r.attempts), at: g.now, ran: true}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	r.cust.open++
+	s.outAvg += 0.05 * (g.load(s) - s.outAvg)
+	if s.coldUntil > g.now {
+		s.budget--
+	}
+	wait := max(overdueMin, time.Duration(overdueX*g.estimate(s, r.class)*float64(time.Second)))
+	s.out++
+	g.all.open++
+	s.sends.add(g.now, 1)
+	g.do(Send{r.ID, s.ID, max(r.until-g.now, time.Millisecond)})
+	if g.now+wait < r.until {
+		g.wake(r.ID, a.n, g.now+wait)
+	}
+}
+
+// overdue looks at an attempt that should have been answered. If the server has answered others since, the
+// request is merely costly; if it has not, the server may be silent.
+func (g *Gateway) overdue(r *request, a *attempt) {
+	s := a.server
+	g.saw(s, r.class, g.now-a.at, true, true) // it may still come: no sign of a jam yet
+	if s.lastGood > a.at {
+		return
+	}
+	if r.finished || r.streaming || g.budget < 1 || r.class.Effect == Unsafe {
+		return
+	}
+	if !g.cfg.Limits.Parallel {
+		if g.cfg.Limits.Cancel {
+			g.do(Cancel{r.ID, a.n}) // its end, as Cancelled, brings the next attempt
+		}
+		return
+	}
+	g.again(r, s)
+}
+
+// again sends a further attempt if the rules, the budget and the time left allow one.
+func (g *Gateway) again(r *request, last *server) bool {
+	if g.budget < 1 || len(r.attempts) >= g.cfg.Limits.MaxAttempts || (r.out > 0 && !g.cfg.Limits.Parallel) {
+		return false
+	}
+	s, cost := g.choose(r, last)
+	if s == nil || cost > (r.until-g.now).Seconds() || (r.out > 0 && s == last) {
+		return false
+	}
+	g.budget--
+	g.send(r, s)
+	return true
+}
+
+func (g *Gateway) ended(e AttemptEnded) {
+	r, a := g.requests[e.ID], g.attempt(e.ID, e.Attempt)
+	if a == nil || a.over {
+		return
+	}
+	a.over = true
+	a.ran = !e.Outcome.neverRan()
+	r.out--
+	a.server.out--
+	g.all.open--
+	r.cust.open--
+	g.judge(r, a, e)
+	if e.TrueUnits > 0 && g.cfg.SettledLater {
+		g.charge(r.cust, e.TrueUnits-r.units)
+		r.more += e.TrueUnits - r.units
+		r.units = e.TrueUnits
+	}
+	if e.Metered > 0 {
+		g.meter(r.cust, e.Metered)
+	}
+	if e.Done {
+		g.finish(r)
+	}
+	if r.finished {
+		g.forget(r)
+		return
+	}
+	if e.Outcome == Moot && len(r.attempts) == 1 {
+		g.charge(r.cust, -r.units) // nothing was sent, so the quota took nothing
+		r.cust.store += r.units
+		r.more = -r.units
+	}
+	if r.out > 0 || (e.Outcome != Moot && g.again(r, a.server)) {
+		return
+	}
+	g.giveUp(r)
+}
+
+// judge takes what an outcome says of its server.
+func (g *Gateway) judge(r *request, a *attempt, e AttemptEnded) {
+	s := a.server
+	switch e.Outcome {
+	case OK:
+		s.lastGood = g.now
+		g.done.add(g.now, 1)
+		before := len(s.ghosts)
+		s.ghosts = slices.DeleteFunc(s.ghosts, func(at time.Duration) bool { return at < a.at })
+		g.all.open -= float64(before - len(s.ghosts))
+		g.saw(s, r.class, e.Took, false, false)
+	case Error:
+		g.saw(s, r.class, e.Took, true, true)
+		s.lastGood = g.now
+	case Full:
+		g.saw(s, r.class, e.Took, true, false) // its queue is full: a jam as well
+		s.lastGood = g.now
+	case NoConnection, Reset:
+		g.saw(s, r.class, e.Took, true, true)
+	case TimedOut, Cancelled:
+		if e.Outcome == TimedOut {
+			g.saw(s, r.class, e.Took, true, false)
+		}
+		s.ghosts = append(s.ghosts, a.at)
+		g.all.open++
+	}
+}
+
+// ---- Guards of the rules.
+
+// mayRepeatAt guards the rule on effects: whether the server may get the request, given the attempts that
+// may have run.
+func (g *Gateway) mayRepeatAt(r *request, s *server) bool {
+	for _, a := range r.attempts {
+		if r.class.Effect == Safe || !a.ran {
+			continue
+		}
+		same := r.class.Group == GroupAll || (r.class.Group == GroupZone && s.Zone == a.server.Zone) ||
+			(r.class.Group == GroupCell && s.Cell == a.server.Cell)
+		if r.class.Effect == Unsafe || !same || g.now-a.at >= r.class.Window-aimMargin {
+			return false
+		}
+	}
+	return true
+}
+
+// giveUp gives the final answer: a refusal where that may be promised, else a failure.
+func (g *Gateway) giveUp(r *request) {
+	mayRun := func(a *attempt) bool { return a.ran }
+	promise := r.class.Effect == Safe || !slices.ContainsFunc(r.attempts, mayRun) ||
+		(r.class.Effect == Keyed && r.class.Group == GroupAll)
+	if promise && r.out == 0 {
+		g.refuse(r.ID)
+	} else {
+		g.do(Fail{r.ID})
+	}
+	g.finish(r)
+}
+
+// finish ends a request; what is still out is called off.
+func (g *Gateway) finish(r *request) {
+	if r == nil {
+		return
+	}
+	r.finished, r.asking = true, false
+	delete(g.asks, r.no)
+	for _, a := range r.attempts {
+		if !a.over && g.cfg.Limits.Cancel && !r.streaming {
+			g.do(Cancel{r.ID, a.n})
+		}
+	}
+	g.forget(r)
+}
+
+// forget drops a finished request once nothing of it is out.
+func (g *Gateway) forget(r *request) {
+	if r.finished && r.out == 0 && g.requests[r.ID] != nil {
+		g.tellEnd(r, r.more)
+		delete(g.requests, r.ID)
+	}
+}
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,731 @@
+package decide
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func testConfig() Config {
+	return Config{Gateways: 3, Zone: "a", PeerIntake: 40, MaxUnits: 8, SettledLater: true,
+		Classes: []Class{
+			{Name: "get", Effect: Safe, Aim: time.Second, Deadline: 4 * time.Second, Worth: 1},
+			{Name: "put", Effect: Keyed, Group: GroupCell, Window: 2 * time.Second, Aim: time.Second,
+				Deadline: 4 * time.Second, Worth: 2},
+			{Name: "putall", Effect: Keyed, Group: GroupAll, Window: 2 * time.Second, Aim: time.Second,
+				Deadline: 4 * time.Second, Worth: 2},
+			{Name: "pay", Effect: Unsafe, Aim: time.Second, Deadline: 4 * time.Second, Worth: 2}},
+		Plans: []Plan{
+			{Name: "wide", Rate: 1000, Burst: 3000, Price: 1},
+			{Name: "small", Rate: 3, Burst: 12, Price: 1},
+			{Name: "hard", Rate: 30, Burst: 60, CeilingRate: 30, CeilingBurst: 60, CeilingSlack: 6, Price: 1},
+			{Name: "open", MaxOpen: 3, Price: 1}},
+		Limits: Limits{MaxAttempts: 3, Cancel: true, Peers: true, RetryAfter: true, MaxRetryAfter: time.Second},
+		Safety: Safety{AnswerSlack: 16 * ms, ColdFrom: 0.2, ColdFor: 10 * time.Second, FallMultiple: 2,
+			FallWindow: time.Second}}
+}
+
+// rig drives a gateway by hand.
+type rig struct {
+	t   *testing.T
+	g   *Gateway
+	now time.Duration
+	n   int
+}
+
+func newRig(t *testing.T, edit func(*Config), servers ...Server) *rig {
+	t.Helper()
+	cfg := testConfig()
+	if edit != nil {
+		edit(&cfg)
+	}
+	g, err := New(cfg, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if servers == nil {
+		servers = []Server{{ID: "s1", Zone: "a"}, {ID: "s2", Zone: "a"}, {ID: "s3", Zone: "a", Cell: 1}}
+	}
+	r := &rig{t: t, g: g, now: time.Hour}
+	r.do(FleetUpdate{Kind: FleetStale, Servers: servers})
+	return r
+}
+
+func (r *rig) do(ev Event) []Action { return r.g.Handle(r.now, ev) }
+
+func (r *rig) ask(class, plan, customer string, units float64) (string, []Action) {
+	r.n++
+	id := fmt.Sprint("q", r.n)
+	return id, r.do(Request{ID: id, Class: class, Plan: plan, Customer: customer, Units: units,
+		Deadline: r.now + 2*time.Second, Spread: 3})
+}
+
+func find[A Action](acts []Action) (out []A) {
+	for _, a := range acts {
+		if x, ok := a.(A); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// send asks and fails the test unless the request is sent on.
+func (r *rig) send(class, plan string) (string, Send) {
+	r.t.Helper()
+	id, acts := r.ask(class, plan, "c", 1)
+	s := find[Send](acts)
+	if len(s) != 1 {
+		r.t.Fatalf("%s on %s: got %#v, want one Send", class, plan, acts)
+	}
+	return id, s[0]
+}
+
+// serve asks, answers at once if the request is sent on, and tells whether it was.
+func (r *rig) serve(class, plan, customer string, units float64) bool {
+	id, acts := r.ask(class, plan, customer, units)
+	s := find[Send](acts)
+	if len(s) == 1 {
+		r.end(id, 0, s[0].Server, OK)
+	}
+	return len(s) == 1
+}
+
+func (r *rig) end(id string, n int, server string, o Outcome) []Action {
+	return r.do(AttemptEnded{ID: id, Attempt: n, Server: server, Outcome: o, Took: 20 * ms, Done: o == OK})
+}
+
+func TestBucket(t *testing.T) {
+	r := newRig(t, nil)
+	admitted := 0
+	for i := 0; i < 20; i++ {
+		if r.serve("get", "small", "x", 1) {
+			admitted++
+		}
+	}
+	// A third of the mark of 12, of which half counts as used after a start; a request may fill a third of its
+	// own units over it.
+	if admitted < 1 || admitted > 3 {
+		t.Errorf("admitted %d at once after a start, want 1 to 3", admitted)
+	}
+	r.now += 10 * time.Second
+	later := 0
+	for i := 0; i < 20; i++ {
+		if r.serve("get", "small", "x", 1) {
+			later++
+		}
+	}
+	if later <= admitted || later > 5 {
+		t.Errorf("admitted %d at once after a rest, want %d to 5", later, admitted+1)
+	}
+}
+
+func TestSettlement(t *testing.T) {
+	r := newRig(t, nil)
+	id, s := r.send("get", "wide")
+	c := r.g.customers[shortKey("c")]
+	before := c.level
+	r.do(AttemptEnded{ID: id, Server: s.Server, Outcome: OK, Took: ms, Done: true, TrueUnits: 6})
+	if got := c.level - before; got != 5 {
+		t.Errorf("settling 1 unit to 6 moved the level by %v, want 5", got)
+	}
+	id, s = r.send("get", "wide")
+	before = c.level
+	r.end(id, 0, s.Server, Moot)
+	if got := before - c.level; got != 1 {
+		t.Errorf("a moot send gave back %v, want 1", got)
+	}
+	id, _ = r.send("pay", "wide")
+	before = c.level
+	r.end(id, 0, "s1", Error)
+	if c.level != before {
+		t.Errorf("a failed send moved the level from %v to %v, want it kept", before, c.level)
+	}
+}
+
+func entry(key string, plan, used, asked, level int) string {
+	var b strings.Builder
+	encode(&b, shortKey(key), 6)
+	encode(&b, uint64(plan), 1)
+	encode(&b, uint64(used), 2)
+	encode(&b, uint64(asked), 2)
+	encode(&b, uint64(level), 1)
+	return b.String()
+}
+
+func message(epoch, seq int, entries ...string) string {
+	var b strings.Builder
+	b.WriteString(msgVersion)
+	encode(&b, uint64(epoch), 2)
+	encode(&b, uint64(seq), 2)
+	return b.String() + strings.Join(entries, "")
+}
+
+func TestPartFollowsDemand(t *testing.T) {
+	r := newRig(t, nil)
+	r.ask("get", "wide", "x", 100)
+	c := r.g.customers[shortKey("x")]
+	r.do(PeerMessage{From: 1, Text: message(1, 1, entry("x", 0, 0, 0, 0))})
+	r.do(PeerMessage{From: 2, Text: message(1, 1)})
+	r.do(PeerMessage{From: 1, Text: message(1, 2, entry("x", 0, 0, 900, 0))})
+	r.g.leak(c)
+	if math.Abs(c.part-1.0/3) > 1e-9 {
+		t.Errorf("part is %v with a tenth of the demand, want the even floor", c.part)
+	}
+	r.ask("get", "wide", "x", 2700)
+	r.g.leak(c)
+	if c.part < 0.65 || c.part > 0.8 {
+		t.Errorf("part is %v with three quarters of the demand, want about 0.73", c.part)
+	}
+	r.now += 2 * time.Second
+	r.do(TimerFired{beatToken})
+	r.g.leak(c)
+	if c.part != 1.0/3 {
+		t.Errorf("part is %v with silent peers, want the even slice", c.part)
+	}
+}
+
+func TestToldUseSettlesTheLevel(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(PeerMessage{From: 1, Text: message(1, 1, entry("x", 1, 0, 0, 0))})
+	r.do(PeerMessage{From: 2, Text: message(1, 1)})
+	_, acts := r.ask("get", "small", "x", 1)
+	if len(find[Send](acts)) != 1 {
+		t.Fatalf("refused though all peers told that nothing was used: %#v", acts)
+	}
+	r.now += 100 * ms
+	r.do(PeerMessage{From: 1, Text: message(1, 2, entry("x", 1, 12, 12, 0))})
+	r.do(PeerMessage{From: 2, Text: message(1, 2)})
+	if _, acts = r.ask("get", "small", "x", 1); len(find[Send](acts)) != 0 {
+		t.Errorf("sent on though a peer told that the whole burst is used")
+	}
+	r.now += 2 * time.Second // the peers have fallen silent; their told use leaks away
+	if _, acts = r.ask("get", "small", "x", 1); len(find[Send](acts)) != 1 {
+		t.Errorf("refused after two seconds of leaking: %#v", acts)
+	}
+}
+
+func TestPeerMessagesDoNoHarm(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(PeerMessage{From: 1, Text: message(1, 5, entry("x", 1, 0, 0, 0))})
+	r.do(PeerMessage{From: 1, Text: message(1, 6, entry("x", 1, 4, 4, 0))})
+	c := r.g.customers[shortKey("x")]
+	for _, e := range []PeerMessage{
+		{From: 1, Text: message(1, 6, entry("x", 1, 4, 4, 0))},  // again
+		{From: 1, Text: message(1, 5, entry("x", 1, 0, 0, 0))},  // late
+		{From: 0, Text: message(1, 9, entry("x", 1, 9, 9, 0))},  // own rank
+		{From: 9, Text: message(1, 9, entry("x", 1, 9, 9, 0))},  // no such gateway
+		{From: -1, Text: message(1, 9, entry("x", 1, 9, 9, 0))}, // nor this
+		{From: 1, Text: "Z" + message(1, 9, entry("x", 1, 9, 9, 0))[1:]},
+		{From: 1, Text: message(1, 9, entry("x", 1, 9, 9, 0)) + "!"},
+		{From: 1, Text: message(1, 9) + "!!!!!!!!!!!!"},
+		{From: 1, Text: ""},
+	} {
+		r.do(e)
+		if c.whole != 4 {
+			t.Fatalf("after %#v the whole bucket holds %v, want 4", e, c.whole)
+		}
+	}
+	r.do(PeerMessage{From: 1, Text: message(1, 7, entry("y", 60, 9, 9, 0))}) // plan unknown here
+	// A new life of the peer counts from 0 again, and all that it used since is news.
+	r.do(PeerMessage{From: 1, Text: message(2, 1, entry("x", 1, 3, 3, 0))})
+	if c.whole != 7 {
+		t.Errorf("after the peer's restart the whole bucket holds %v, want 7", c.whole)
+	}
+}
+
+func TestRestartLearnsWhatPeersKnow(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(PeerMessage{From: 1, Text: message(1, 40, entry("x", 1, 700, 800, 30))})
+	r.do(PeerMessage{From: 2, Text: message(3, 50)})
+	if _, acts := r.ask("get", "small", "x", 1); len(find[Send](acts)) != 0 {
+		t.Error("a restarted gateway sent on though its peers told that the burst is used up")
+	}
+}
+
+func TestMessagesAreSmall(t *testing.T) {
+	r := newRig(t, nil)
+	for i := 0; i < 100; i++ {
+		r.serve("get", "wide", fmt.Sprint("c", i), 1)
+	}
+	told := map[int]int{}
+	for i := 0; i < 20; i++ {
+		r.now += 200 * ms
+		for _, m := range find[Tell](r.do(TimerFired{beatToken})) {
+			if len(m.Text) > maxMessage {
+				t.Fatalf("message of %d bytes, want %d at most", len(m.Text), maxMessage)
+			}
+			told[m.To] += (len(m.Text) - msgHead) / msgEntry
+		}
+	}
+	if told[1] != 100 || told[2] != 100 || told[0] != 0 {
+		t.Errorf("told of %v customers by gateway, want 100 each for 1 and 2", told)
+	}
+}
+
+func TestOpenCap(t *testing.T) {
+	r := newRig(t, nil)
+	r.send("get", "open")
+	if _, acts := r.ask("get", "open", "c", 1); len(find[Refuse](acts)) != 1 {
+		t.Errorf("a second attempt out with a third of 3: got %#v, want Refuse", acts)
+	}
+	r.end("q1", 0, "s1", OK)
+	r.send("get", "open")
+}
+
+func TestCeiling(t *testing.T) {
+	r := newRig(t, nil)
+	if _, acts := r.ask("get", "hard", "x", 8); len(find[Send](acts)) != 0 {
+		t.Fatal("sent on from the ceiling's store at the start, when it must count as empty")
+	}
+	sent, start := 0.0, r.now
+	for ; r.now < start+20*time.Second; r.now += 50 * ms {
+		id, acts := r.ask("get", "hard", "x", 4)
+		if s := find[Send](acts); len(s) == 1 {
+			sent += 4
+			r.end(id, 0, s[0].Server, OK)
+		}
+		if most := 10*(r.now-start).Seconds() + 2; sent > most+1e-6 {
+			t.Fatalf("passed on %v by %v, want a third of the ceiling: %v", sent, r.now-start, most)
+		}
+	}
+	if sent < 100 {
+		t.Errorf("passed on %v in 20 s, want over 100", sent)
+	}
+}
+
+func TestEffects(t *testing.T) {
+	for _, c := range []struct {
+		class   string
+		outcome Outcome
+		again   bool // a further attempt is allowed
+		refuse  bool // else: a refusal is allowed
+	}{
+		{"get", Error, true, true}, {"get", TimedOut, true, true}, {"get", Full, true, true},
+		{"put", Error, true, false}, {"put", Full, true, true}, {"put", Reset, true, false},
+		{"putall", Error, true, true}, {"putall", NoConnection, true, true},
+		{"pay", Error, false, false}, {"pay", TimedOut, false, false}, {"pay", Reset, false, false},
+		{"pay", Cancelled, false, false}, {"pay", Full, true, true}, {"pay", NoConnection, true, true},
+	} {
+		r := newRig(t, nil)
+		id, s := r.send(c.class, "wide")
+		acts := r.end(id, 0, s.Server, c.outcome)
+		more := find[Send](acts)
+		if (len(more) == 1) != c.again {
+			t.Errorf("%s after %v: got %#v, want again=%v", c.class, c.outcome, acts, c.again)
+		}
+		if len(more) == 1 && c.class == "put" && !c.outcome.neverRan() && (more[0].Server == "s3") != (s.Server == "s3") {
+			t.Errorf("%s after %v: sent to %s after %s, another cell", c.class, c.outcome, more[0].Server, s.Server)
+		}
+		r.g.budget = 0 // no further attempts: the final answer
+		for i := 1; len(more) == 1; i++ {
+			acts = r.end(id, i, more[0].Server, c.outcome)
+			more = find[Send](acts)
+		}
+		if len(find[Refuse](acts)) != b2i(c.refuse) || len(find[Fail](acts)) != b2i(!c.refuse) {
+			t.Errorf("%s after %v: final %#v, want refuse=%v", c.class, c.outcome, acts, c.refuse)
+		}
+	}
+}
+
+func TestKeyedWindow(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Classes[2].Aim, c.Classes[2].Window = 3*time.Second, time.Second })
+	id, s := r.send("putall", "wide")
+	r.now += 1100 * ms
+	if acts := r.end(id, 0, s.Server, Error); len(find[Send](acts)) != 0 {
+		t.Errorf("sent again after the window: %#v", acts)
+	}
+}
+
+func TestNoServer(t *testing.T) {
+	r := newRig(t, nil, []Server{}...)
+	r.do(FleetUpdate{Kind: FleetFull})
+	if _, acts := r.ask("get", "wide", "c", 1); len(find[Refuse](acts)) != 1 {
+		t.Errorf("without servers: got %#v, want Refuse", acts)
+	}
+}
+
+func TestDrains(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(FleetUpdate{Kind: FleetDelta, Servers: []Server{{ID: "s1", State: Draining}}})
+	r.do(FleetUpdate{Kind: FleetDelta, Servers: []Server{{ID: "s2", State: Gone}}})
+	for i := 0; i < 8; i++ {
+		if _, s := r.send("get", "wide"); s.Server != "s3" {
+			t.Fatalf("sent to %s, want s3", s.Server)
+		}
+		r.end(fmt.Sprint("q", r.n), 0, "s3", OK)
+	}
+	r.do(FleetUpdate{Kind: FleetFull, Servers: []Server{{ID: "s2"}}})
+	if _, s := r.send("get", "wide"); s.Server != "s2" {
+		t.Errorf("sent to %s, which a full list left out, want s2", s.Server)
+	}
+	r.do(FleetUpdate{Kind: FleetFailed})
+	if _, acts := r.ask("get", "wide", "c", 1); len(find[Send](acts)) != 1 {
+		t.Errorf("a failed list call lost the former list: %#v", acts)
+	}
+}
+
+func TestSlowStart(t *testing.T) {
+	r := newRig(t, nil)
+	run := func(d time.Duration) map[string]int {
+		n := map[string]int{}
+		for end := r.now + d; r.now < end; r.now += 20 * ms {
+			id, s := r.send("get", "wide")
+			n[s.Server]++
+			r.now += 5 * ms
+			r.end(id, 0, s.Server, OK)
+		}
+		return n
+	}
+	run(10 * time.Second)
+	r.do(FleetUpdate{Kind: FleetDelta, Servers: []Server{{ID: "s1", Zone: "a", Started: r.now - ms}}})
+	n := run(time.Second)
+	warm := float64(n["s2"]+n["s3"]) / 2
+	if most := coldMargin * 2 * 0.3 * warm * 1.2; float64(n["s1"]) > most+1 {
+		t.Errorf("cold server got %d in its first second, want %v at most", n["s1"], most)
+	}
+	run(10 * time.Second)
+	if n = run(2 * time.Second); n["s1"] < n["s2"]/2 {
+		t.Errorf("warm again, the server gets %d of %v", n["s1"], n)
+	}
+}
+
+func TestOutlierEjection(t *testing.T) {
+	r := newRig(t, nil)
+	fails := 0
+	for i := 0; i < 200; i++ {
+		id, s := r.send("get", "wide")
+		r.now += 20 * ms
+		if s.Server != "s1" {
+			r.end(id, 0, s.Server, OK)
+			continue
+		}
+		fails++
+		for _, m := range find[Send](r.end(id, 0, "s1", Error)) {
+			r.end(id, 1, m.Server, OK)
+		}
+	}
+	if fails > 12 {
+		t.Errorf("%d of 200 went to a server that fails all, quickly", fails)
+	}
+	all := newRig(t, nil)
+	for i := 0; i < 100; i++ {
+		id, acts := all.ask("pay", "wide", "c", 1)
+		all.now += 20 * ms
+		if s := find[Send](acts); len(s) == 1 {
+			all.end(id, 0, s[0].Server, Error)
+		}
+	}
+	got := map[string]bool{}
+	for i := 0; i < 60; i++ {
+		if _, acts := all.ask("pay", "wide", "c", 1); len(find[Send](acts)) == 1 {
+			got[find[Send](acts)[0].Server] = true
+			all.end(fmt.Sprint("q", all.n), 0, find[Send](acts)[0].Server, Error)
+		}
+	}
+	if len(got) < 3 {
+		t.Errorf("only %v get requests for a fault that all servers share", got)
+	}
+}
+
+func TestSilentServerIsLeft(t *testing.T) {
+	r := newRig(t, nil)
+	lost := 0
+	for i := 0; i < 200; i++ {
+		id, s := r.send("get", "wide")
+		r.now += 30 * ms
+		if s.Server != "s1" {
+			r.end(id, 0, s.Server, OK)
+		} else {
+			lost++
+		}
+		for token, ref := range r.g.timers {
+			if a := r.g.attempt(ref.id, ref.n); a != nil && r.now > a.at+time.Second {
+				r.do(TimerFired{token})
+			}
+		}
+	}
+	if lost > 40 {
+		t.Errorf("%d of 200 went to a server that never answers", lost)
+	}
+}
+
+func TestSlownessFades(t *testing.T) {
+	r := newRig(t, nil)
+	s := r.g.order[0]
+	for i := 0; i < 10; i++ {
+		r.g.saw(s, r.g.classes["get"], 3*time.Second, false, false)
+	}
+	slow := r.g.slowness(s)
+	r.now += time.Minute
+	r.do(TimerFired{beatToken})
+	if got := r.g.slowness(s); slow < 1.3 || got > 1.1 {
+		t.Errorf("slowness went from %v to %v in a minute without answers, want it to fade to about 1", slow, got)
+	}
+}
+
+func TestGhostsCloseTheCap(t *testing.T) {
+	r := newRig(t, nil)
+	for i := 0; i < 6; i++ {
+		id, acts := r.ask("get", "wide", "c", 1)
+		if s := find[Send](acts); len(s) == 1 {
+			r.end(id, 0, s[0].Server, Cancelled)
+		}
+	}
+	if _, acts := r.ask("get", "wide", "c", 1); len(find[Refuse](acts)) != 1 {
+		t.Errorf("sent on to servers that still work on what nobody waits for: %#v", acts)
+	}
+	r.now += ghostFor + time.Second
+	r.send("get", "wide")
+}
+
+func TestBadInput(t *testing.T) {
+	r := newRig(t, nil)
+	for _, e := range []Request{{ID: "a", Class: "none", Plan: "wide"}, {ID: "b", Class: "get", Plan: "none"}} {
+		if acts := r.do(e); len(find[Refuse](acts)) != 1 {
+			t.Errorf("%#v: got %#v, want Refuse", e, acts)
+		}
+	}
+	for _, e := range []Event{AttemptEnded{ID: "zz", Outcome: OK}, ClientGone{"zz"}, TimerFired{1 << 60},
+		AnswerStarted{ID: "zz"}, ProbeEnded{Server: "zz"}, Counted{Name: 4}, AttemptEnded{ID: "zz", Attempt: -1}} {
+		if acts := r.do(e); len(acts) != 0 {
+			t.Errorf("%#v: got %#v, want nothing", e, acts)
+		}
+	}
+	id, s := r.send("get", "wide")
+	r.do(ClientGone{id})
+	if acts := r.end(id, 0, s.Server, TimedOut); len(acts) != 0 {
+		t.Errorf("answered a request whose client is gone: %#v", acts)
+	}
+	if acts := r.end(id, 0, s.Server, TimedOut); len(acts) != 0 {
+		t.Errorf("answered an outcome told twice: %#v", acts)
+	}
+}
+
+func TestValidate(t *testing.T) {
+	for want, edit := range map[string]func(*Config){
+		"Classes is empty":             func(c *Config) { c.Classes = nil },
+		"Rank is 3":                    func(c *Config) { c.Rank = 3 },
+		"Gateways is 0":                func(c *Config) { c.Gateways = 0 },
+		"Plans[1].Rate is -1":          func(c *Config) { c.Plans[1].Rate = -1 },
+		"Plans[2].CeilingBurst is NaN": func(c *Config) { c.Plans[2].CeilingBurst = math.NaN() },
+		"Classes[0].Aim is 0s":         func(c *Config) { c.Classes[0].Aim = 0 },
+		"Limits.MaxAttempts is 0":      func(c *Config) { c.Limits.MaxAttempts = 0 },
+	} {
+		cfg := testConfig()
+		edit(&cfg)
+		if _, err := New(cfg, 1); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got error %v, want one with %q", err, want)
+		}
+	}
+}
+
+// TestDeterminism plays the same random events to two gateways, one alone and one beside others.
+func TestDeterminism(t *testing.T) {
+	one := playRandom(t, 3)
+	playRandom(t, 4)
+	if two := playRandom(t, 3); !reflect.DeepEqual(one, two) {
+		t.Error("the same events gave other actions")
+	}
+}
+
+// TestRulesUnderRandomEvents checks the five rules over long random legal events.
+func TestRulesUnderRandomEvents(t *testing.T) {
+	for seed := int64(10); seed < 30; seed++ {
+		playRandom(t, seed)
+	}
+}
+
+type flight struct {
+	req      Request
+	class    Class
+	attempts []Send
+	at       []time.Duration
+	out      map[int]bool
+	mayRun   map[int]bool
+	done     bool
+}
+
+// playRandom plays the servers, the clients, the list and a peer at random, and checks each action.
+func playRandom(t *testing.T, seed int64) (log []Action) {
+	t.Helper()
+	rnd := rand.New(rand.NewSource(seed))
+	cfg := testConfig()
+	cfg.Limits.Parallel = seed%2 == 0
+	g, err := New(cfg, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now, start := time.Duration(0), time.Duration(0)
+	flights := map[string]*flight{}
+	var order []string
+	state := map[string]State{}
+	cells := map[string]int{}
+	var servers []Server
+	for i := 0; i < 5; i++ {
+		s := Server{ID: fmt.Sprint("s", i), Zone: "a", Cell: i % 2}
+		servers, cells[s.ID] = append(servers, s), s.Cell
+	}
+	passed := map[string]float64{}
+	var handle func(ev Event)
+	check := func(a Action) {
+		switch a := a.(type) {
+		case Send:
+			f := flights[a.ID]
+			if f == nil || f.done {
+				t.Fatalf("seed %d: Send for finished request %s", seed, a.ID)
+			}
+			if state[a.Server] != Serving {
+				t.Fatalf("seed %d: Send to %s, which drains or is gone", seed, a.Server)
+			}
+			if len(f.attempts) >= cfg.Limits.MaxAttempts || (!cfg.Limits.Parallel && len(f.out) > 0) {
+				t.Fatalf("seed %d: attempt %d with %d out", seed, len(f.attempts), len(f.out))
+			}
+			for n := range f.attempts {
+				if !f.mayRun[n] || f.class.Effect == Safe {
+					continue
+				}
+				if f.class.Effect == Unsafe || now-f.at[n] > f.class.Window ||
+					(f.class.Group == GroupCell && cells[a.Server] != cells[f.attempts[n].Server]) {
+					t.Fatalf("seed %d: %s sent to %s after attempt %d may have run", seed, f.class.Name, a.Server, n)
+				}
+			}
+			if len(f.attempts) == 0 && f.req.Plan == "hard" {
+				passed[f.req.Customer] += f.req.Units
+				if most := 10*(now-start).Seconds() + 2; passed[f.req.Customer] > most+1e-6 {
+					t.Fatalf("seed %d: ceiling passed: %v over %v", seed, passed[f.req.Customer], most)
+				}
+			}
+			n := len(f.attempts)
+			f.attempts, f.at = append(f.attempts, a), append(f.at, now)
+			f.out[n], f.mayRun[n] = true, true
+		case Refuse:
+			f := flights[a.ID]
+			if f.done {
+				t.Fatalf("seed %d: second final answer for %s", seed, a.ID)
+			}
+			for n := range f.attempts {
+				if f.mayRun[n] && (f.class.Effect == Unsafe || (f.class.Effect == Keyed && f.class.Group != GroupAll)) {
+					t.Fatalf("seed %d: refused %s after attempt %d may have run", seed, f.class.Name, n)
+				}
+			}
+			f.done = true
+		case Fail:
+			if flights[a.ID].done {
+				t.Fatalf("seed %d: second final answer for %s", seed, a.ID)
+			}
+			flights[a.ID].done = true
+		}
+	}
+	handle = func(ev Event) {
+		acts := g.Handle(now, ev)
+		log = append(log, acts...)
+		for _, a := range acts {
+			check(a)
+		}
+	}
+	handle(FleetUpdate{Kind: FleetStale, Servers: servers})
+	end := func(id string, n int, o Outcome) {
+		f := flights[id]
+		delete(f.out, n)
+		if o.neverRan() {
+			f.mayRun[n] = false
+		}
+		f.done = f.done || o == OK
+		handle(AttemptEnded{ID: id, Attempt: n, Server: f.attempts[n].Server, Outcome: o, Took: now - f.at[n],
+			Done: f.done, TrueUnits: float64(1 + rnd.Intn(8))})
+	}
+	for i := 0; i < 3000; i++ {
+		now += time.Duration(rnd.Intn(20)) * ms
+		switch k := rnd.Intn(20); {
+		case k < 9:
+			c := cfg.Classes[rnd.Intn(len(cfg.Classes))]
+			id := fmt.Sprint("q", i)
+			q := Request{ID: id, Class: c.Name, Plan: cfg.Plans[rnd.Intn(len(cfg.Plans))].Name,
+				Customer: fmt.Sprint("c", rnd.Intn(6)), Units: float64(1 + rnd.Intn(4)),
+				Deadline: now + time.Duration(500+rnd.Intn(1000))*ms, Spread: 3}
+			q.Customer += q.Plan
+			flights[id] = &flight{req: q, class: c, out: map[int]bool{}, mayRun: map[int]bool{}}
+			order = append(order, id)
+			handle(q)
+		case k < 11:
+			s := &servers[rnd.Intn(len(servers))]
+			s.State = State(rnd.Intn(3))
+			if rnd.Intn(2) == 0 {
+				s.State, s.Started = Serving, now
+			}
+			state[s.ID] = s.State
+			handle(FleetUpdate{Kind: FleetDelta, Servers: []Server{*s}})
+		case k < 12:
+			handle(PeerMessage{From: 1 + rnd.Intn(2), Text: message(rnd.Intn(2), rnd.Intn(4096),
+				entry("c1hard", 2, rnd.Intn(4096), rnd.Intn(4096), rnd.Intn(64)))})
+		case k < 13:
+			handle(TimerFired{beatToken})
+		}
+		for _, id := range order {
+			f := flights[id]
+			for n := 0; n < len(f.attempts); n++ {
+				if !f.out[n] {
+					continue
+				}
+				if now >= f.at[n]+f.attempts[n].Timeout {
+					end(id, n, TimedOut)
+				} else if rnd.Intn(12) == 0 {
+					end(id, n, Outcome(1+rnd.Intn(7)))
+				}
+			}
+			if !f.done && now > f.req.Deadline+cfg.Safety.AnswerSlack+20*ms {
+				t.Fatalf("seed %d: no final answer for %s", seed, id)
+			}
+		}
+		order = keep(order, func(id string) bool { return !flights[id].done || len(flights[id].out) > 0 })
+	}
+	return log
+}
+
+func keep(ids []string, want func(string) bool) (out []string) {
+	for _, id := range ids {
+		if want(id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// FuzzPeerMessage feeds the parser of peers' messages; whatever comes must neither panic nor make units negative.
+func FuzzPeerMessage(f *testing.F) {
+	f.Add(message(1, 1, entry("x", 1, 5, 5, 5)))
+	f.Add(message(4095, 4095))
+	f.Add("b")
+	f.Add("a0102zzzz")
+	f.Fuzz(func(t *testing.T, text string) {
+		g, err := New(testConfig(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.Handle(time.Second, PeerMessage{From: 1, Text: text})
+		for _, c := range g.queue {
+			if c.whole < 0 || math.IsNaN(c.whole) {
+				t.Errorf("whole bucket is %v", c.whole)
+			}
+		}
+	})
+}
+
+func TestMeterDecidesThePartWherePeersAreSilent(t *testing.T) {
+	for metered, want := range map[int]float64{1 + 100: 0.9, 1 + 1000: 1.0 / 3, 0: 1.0 / 3} {
+		r := newRig(t, nil)
+		id, s := r.send("get", "wide")
+		r.do(AttemptEnded{ID: id, Server: s.Server, Outcome: OK, Took: ms, Done: true, Metered: metered})
+		c := r.g.customers[shortKey("c")]
+		r.g.charge(c, 1800) // 900 units a second over the memory, of a rate of 1000
+		if r.g.leak(c); math.Abs(c.part-want) > 0.01 {
+			t.Errorf("told %d: part is %v, want %v", metered, c.part, want)
+		}
+	}
+}
--- /dev/null
+++ b/decide/example_test.go
@@ -0,0 +1,39 @@
+package decide_test
+
+import (
+	"fmt"
+	"time"
+
+	"winghatch/decide"
+)
+
+// A gateway is told what happens and says what to do; the caller does it.
+func Example() {
+	cfg := decide.Config{
+		Gateways: 1,
+		Classes:  []decide.Class{{Name: "read", Effect: decide.Safe, Aim: time.Second, Deadline: 4 * time.Second, Worth: 1}},
+		Plans:    []decide.Plan{{Name: "basic", Rate: 5, Burst: 20, Price: 1}},
+		Limits:   decide.Limits{MaxAttempts: 3},
+		Safety:   decide.Safety{ColdFrom: 0.2, ColdFor: 10 * time.Second, FallMultiple: 2, FallWindow: time.Second},
+	}
+	g, err := decide.New(cfg, 1)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	now := time.Minute // since an origin of the caller's choice
+	g.Handle(now, decide.FleetUpdate{Kind: decide.FleetFull, Servers: []decide.Server{{ID: "10.0.0.1:80"}}})
+	for _, a := range g.Handle(now, decide.Request{ID: "r1", Class: "read", Plan: "basic", Customer: "ada",
+		Units: 1, Deadline: now + 4*time.Second, Spread: 1}) {
+		switch a := a.(type) {
+		case decide.Send:
+			fmt.Println("send", a.ID, "to", a.Server)
+		case decide.Refuse:
+			fmt.Println("refuse", a.ID)
+		}
+	}
+	// Tell the gateway how the attempt ended; Done says that its answer went to the client.
+	g.Handle(now+20*time.Millisecond, decide.AttemptEnded{ID: "r1", Server: "10.0.0.1:80", Outcome: decide.OK,
+		Took: 20 * time.Millisecond, Done: true})
+	// Output: send r1 to 10.0.0.1:80
+}
--- /dev/null
+++ b/decide/fleet_test.go
@@ -0,0 +1,318 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// joined is a few gateways whose messages reach each other late, some never, in an order that a seed decides.
+type joined struct {
+	t        *testing.T
+	cfg      Config
+	gws      []*Gateway
+	rnd      *rand.Rand
+	now      time.Duration
+	due      []letter
+	taken    []int // messages that each gateway was sent
+	used     float64
+	refused  int
+	inFlight map[string]float64
+	answers  []AttemptEnded
+	loss     float64
+	down     map[int]bool
+}
+
+type letter struct {
+	at    time.Duration
+	to    int
+	ev    Event
+	drops bool
+}
+
+func join(t *testing.T, n int, edit func(*Config)) *joined {
+	t.Helper()
+	j := &joined{t: t, cfg: testConfig(), rnd: rand.New(rand.NewSource(5)), now: time.Hour, gws: make([]*Gateway, n),
+		taken: make([]int, n), inFlight: map[string]float64{}, loss: 0.05, down: map[int]bool{}}
+	j.cfg.Gateways = n
+	if edit != nil {
+		edit(&j.cfg)
+	}
+	for i := range j.gws {
+		j.start(i)
+	}
+	return j
+}
+
+func (j *joined) start(i int) {
+	cfg := j.cfg
+	cfg.Rank = i
+	g, err := New(cfg, j.rnd.Int63())
+	if err != nil {
+		j.t.Fatal(err)
+	}
+	j.gws[i] = g
+	j.due = keepLetters(j.due, func(l letter) bool { return l.to != i })
+	j.handle(i, FleetUpdate{Kind: FleetStale, Servers: []Server{{ID: "s1", Zone: "a"}, {ID: "s2", Zone: "a"}}})
+}
+
+func keepLetters(ls []letter, want func(letter) bool) (out []letter) {
+	for _, l := range ls {
+		if want(l) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (j *joined) handle(i int, ev Event) {
+	for _, a := range j.gws[i].Handle(j.now, ev) {
+		switch a := a.(type) {
+		case Tell:
+			j.taken[a.To]++
+			if j.rnd.Float64() >= j.loss && !j.down[a.To] {
+				late := time.Duration(2+j.rnd.Intn(16)) * ms
+				j.due = append(j.due, letter{at: j.now + late, to: a.To, ev: PeerMessage{i, a.Text}})
+			}
+		case SetTimer:
+			j.due = append(j.due, letter{at: a.At, to: i, ev: TimerFired{a.Token}})
+		case Send:
+			j.used += j.inFlight[a.ID]
+			j.due = append(j.due, letter{at: j.now + 30*ms, to: i, ev: AttemptEnded{ID: a.ID, Server: a.Server,
+				Outcome: OK, Took: 30 * ms, Done: true}})
+		case Refuse:
+			j.refused++
+		}
+	}
+}
+
+// run plays on to a time, with a request asked for every gap at a gateway that pick names.
+func (j *joined) run(d, gap time.Duration, plan string, units float64, pick func(n int) int) {
+	for end, n := j.now+d, 0; j.now < end; n++ {
+		if i := pick(n); !j.down[i] {
+			id := fmt.Sprint(j.now, "-", n)
+			j.inFlight[id] = units
+			j.handle(i, Request{ID: id, Class: "get", Plan: plan, Customer: "x", Units: units,
+				Deadline: j.now + 2*time.Second, Spread: len(j.gws)})
+		}
+		for next := j.now + gap; j.now < next; j.now += 4 * ms {
+			var ready []letter
+			j.due = keepLetters(j.due, func(l letter) bool {
+				if l.at <= j.now {
+					ready = append(ready, l)
+				}
+				return l.at > j.now
+			})
+			for _, l := range ready {
+				if !j.down[l.to] {
+					j.handle(l.to, l.ev)
+				}
+			}
+		}
+	}
+}
+
+// TestQuotaOverAllGateways: whatever the fleet's size, what all let in stays near rate and burst while the
+// traffic shifts, and most of it is let in where it is within the quota.
+func TestQuotaOverAllGateways(t *testing.T) {
+	for _, n := range []int{3, 300} {
+		for _, ask := range []float64{0.5, 4} { // times the rate
+			j := join(t, n, nil)
+			j.run(3*time.Second, 100*ms, "small", 0, func(int) int { return 0 })
+			const rate, units, secs = 3.0, 2.0, 24.0
+			gap := time.Duration(units / (ask * rate) * float64(time.Second))
+			for k := 0; k < 3; k++ { // the traffic gathers on a tenth of the gateways, then on others
+				few := max(1, n/10)
+				j.run(8*time.Second, gap, "small", units, func(int) int { return (k*few + j.rnd.Intn(few)) % n })
+			}
+			most := rate*secs + 12 + 2*units
+			least := 0.8 * min(ask*rate*secs, rate*secs)
+			if j.used > 1.15*most || j.used < least {
+				t.Errorf("%d gateways, %v times the rate: used %v, want %v to %v", n, ask, j.used, least, most)
+			}
+		}
+	}
+}
+
+// TestMessagesStayWithinIntake: one customer that asks for many times its quota at all of 300 gateways.
+func TestMessagesStayWithinIntake(t *testing.T) {
+	j := join(t, 300, nil)
+	j.run(12*time.Second, 4*ms, "small", 2, func(int) int { return j.rnd.Intn(300) })
+	for i := range j.taken {
+		j.taken[i] = 0
+	}
+	j.run(5*time.Second, 4*ms, "small", 2, func(int) int { return j.rnd.Intn(300) })
+	for i, n := range j.taken {
+		if float64(n)/5 > j.cfg.PeerIntake {
+			t.Errorf("gateway %d was sent %d messages in 5 s, want %v a second at most", i, n, j.cfg.PeerIntake)
+		}
+	}
+}
+
+// TestCeilingOverAllGateways: under restarts of most gateways the sum over all stays under the ceiling.
+func TestCeilingOverAllGateways(t *testing.T) {
+	for _, n := range []int{3, 300} {
+		j := join(t, n, nil)
+		store, last, used := 60.0, j.now, 0.0
+		for k := 0; k < 60; k++ {
+			if k%10 == 5 {
+				for i := range j.gws {
+					if j.rnd.Float64() < 0.9 {
+						j.start(i)
+					}
+				}
+			}
+			j.run(100*ms, 10*ms, "hard", 4, func(int) int { return j.rnd.Intn(n) })
+			store = min(60, store+30*(j.now-last).Seconds()) - (j.used - used)
+			if last, used = j.now, j.used; store < -6 {
+				t.Fatalf("%d gateways: the ceiling's store fell to %v, want -6 at least", n, store)
+			}
+		}
+		if j.used < 30 {
+			t.Errorf("%d gateways: passed on %v in 6 s under a ceiling of 30 a second", n, j.used)
+		}
+	}
+}
+
+// TestDeadHomeCostsLittle: with both homes of a customer down, the bucket of each gateway decides.
+func TestDeadHomeCostsLittle(t *testing.T) {
+	j := join(t, 300, nil)
+	key := shortKey("x")
+	for n := 0; n < homes; n++ {
+		j.down[j.gws[0].home(key, n)] = true
+	}
+	j.run(20*time.Second, 1300*ms, "small", 2, func(int) int { return j.rnd.Intn(300) })
+	if j.used < 20 {
+		t.Errorf("used %v of 60 with both homes down, want 20 or more", j.used)
+	}
+	j.down = map[int]bool{}
+	before := j.used
+	j.run(20*time.Second, 1300*ms, "small", 2, func(int) int { return j.rnd.Intn(300) })
+	if got := j.used - before; got < 24 {
+		t.Errorf("used %v of 30 asked after the homes came back, want 24 or more", got)
+	}
+}
+
+// TestWordsDoNoHarm: words that are malformed, of unknown plans or come to the wrong home change nothing.
+func TestWordsDoNoHarm(t *testing.T) {
+	j := join(t, 300, nil)
+	key := shortKey("x")
+	home := j.gws[j.gws[0].home(key, 0)]
+	ask := word{kind: 'a', key: key, plan: 1, no: 7, n: 1, v: [4]float64{2}}
+	other := ask
+	other.plan = 40
+	for _, text := range []string{"", "a", ask.text()[:11], ask.text() + "!!", "Z" + ask.text()[1:], other.text(),
+		word{kind: 'a', key: key + 1, plan: 1, n: 1}.text(), word{kind: 'r', key: key, n: 4}.text(),
+		word{kind: 'a', key: key, plan: 1, n: 1, v: [4]float64{-2}}.text()} {
+		if acts := home.Handle(j.now, PeerMessage{From: 299, Text: text}); len(acts) != 0 || len(home.customers) > 0 {
+			t.Errorf("%q: got %#v, %d customers", text, acts, len(home.customers))
+		}
+	}
+	for _, from := range []int{-1, 300, home.cfg.Rank} {
+		if acts := home.Handle(j.now, PeerMessage{From: from, Text: ask.text()}); len(acts) != 0 {
+			t.Errorf("from %d: got %#v", from, acts)
+		}
+	}
+	first := home.Handle(j.now, PeerMessage{From: 9, Text: ask.text()})
+	again := home.Handle(j.now, PeerMessage{From: 9, Text: ask.text()})
+	if len(first) != 1 || len(again) != 1 || home.customers[key].whole > startLevel*12+2 {
+		t.Errorf("the same question twice: %#v, %#v, whole %v", first, again, home.customers[key].whole)
+	}
+}
+
+// TestWaitForAHomeEndsInTime: with both homes silent a request is still answered before its client leaves.
+func TestWaitForAHomeEndsInTime(t *testing.T) {
+	g := join(t, 300, nil).gws[4]
+	until := time.Hour + 30*ms
+	acts := g.Handle(time.Hour, Request{ID: "q", Class: "get", Plan: "small", Customer: "x", Units: 2,
+		Deadline: until, Spread: 300})
+	for i := 0; i < 5; i++ {
+		if timers := find[SetTimer](acts); len(timers) > 0 && timers[0].At <= until {
+			acts = g.Handle(timers[0].At, TimerFired{timers[0].Token})
+		}
+		if len(find[Refuse](acts)) == 1 {
+			return
+		}
+	}
+	t.Errorf("no answer by the deadline: %#v", acts)
+}
+
+// TestToldMissesCloseTheFlow: a gateway that is told that most answers are missed lets in less, before it has
+// met the jam itself, and opens again when they come.
+func TestToldMissesCloseTheFlow(t *testing.T) {
+	j := join(t, 300, nil)
+	g := j.gws[3]
+	told := func(missed bool, n int) {
+		for i := 0; i < n; i++ {
+			v := sight{server: shortKey("s1") & shortMask, x: 1, missed: missed}
+			w := word{kind: 'd', key: 1, plan: 0, n: 1, seen: 1, sights: [newsOf]sight{v}}
+			g.Handle(j.now, PeerMessage{From: 9, Text: w.text()})
+		}
+	}
+	asked := func() (n int) {
+		for i := 0; i < 100; i++ {
+			id := fmt.Sprint(j.now, i)
+			n += len(find[Tell](g.Handle(j.now, Request{ID: id, Class: "get", Plan: "wide", Customer: id, Units: 1,
+				Deadline: j.now + time.Second, Spread: 300})))
+		}
+		return n
+	}
+	told(true, 40)
+	if n := asked(); n > 40 {
+		t.Errorf("%d of 100 asked for after 40 missed answers, want 40 at most", n)
+	}
+	told(false, 120)
+	if n := asked(); n < 90 {
+		t.Errorf("%d of 100 asked for after 120 answers that came, want 90 or more", n)
+	}
+}
+
+// TestClassFailureIsAvoided: told that a server leaves one class, a gateway sends it the others only.
+func TestClassFailureIsAvoided(t *testing.T) {
+	r := newRig(t, nil)
+	for i := 0; i < 8; i++ {
+		r.g.note(r.g.servers["s1"], r.g.classes["pay"], 5, true, false)
+	}
+	r.g.flow = flowMost
+	got := map[string]int{}
+	for i := 0; i < 30; i++ {
+		for _, class := range []string{"pay", "get"} {
+			id, s := r.send(class, "wide")
+			got[class+s.Server]++
+			r.end(id, 0, s.Server, OK)
+		}
+	}
+	if got["pays1"] > 0 {
+		t.Errorf("sent %d of a class to a server that leaves it: %v", got["pays1"], got)
+	}
+}
+
+func BenchmarkHandle(b *testing.B) {
+	cfg := testConfig()
+	cfg.Gateways = 500
+	g, err := New(cfg, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var servers []Server
+	for i := 0; i < 100; i++ {
+		servers = append(servers, Server{ID: fmt.Sprint("s", i), Zone: "a"})
+	}
+	g.Handle(time.Second, FleetUpdate{Kind: FleetFull, Servers: servers})
+	b.ReportAllocs()
+	for i := 0; i < b.N; i++ {
+		now := time.Second + time.Duration(i)*ms
+		id := fmt.Sprint(i)
+		key := fmt.Sprint("c", i%2000)
+		g.Handle(now, Request{ID: id, Class: "get", Plan: "wide", Customer: key, Units: 1,
+			Deadline: now + time.Second, Spread: 200})
+		for no, r := range g.asks {
+			w := word{kind: 'r', key: r.cust.key, no: no, n: 4, v: [4]float64{1}}
+			g.Handle(now, PeerMessage{From: g.home(r.cust.key, 0), Text: w.text()})
+		}
+		if r := g.requests[id]; r != nil && len(r.attempts) > 0 {
+			g.Handle(now, AttemptEnded{ID: id, Server: r.attempts[0].server.ID, Outcome: OK, Took: ms, Done: true})
+		}
+	}
+}
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,278 @@
+// The types of what a gateway keeps; what is done with it stands in decide.go.
+
+package decide
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"strings"
+	"time"
+)
+
+type peer struct {
+	heard, sent       time.Duration
+	epoch, seq, mySeq int
+	known             bool // heard since this gateway started
+	younger           bool // it started after this gateway, so all of its totals are news
+	queue             []*customer
+}
+
+// Gateway decides for one gateway. Make it with New.
+type Gateway struct {
+	cfg          Config
+	rng          *rand.Rand
+	now, started time.Duration
+	begun        bool
+	out          []Action
+	classes      map[string]*class
+	plans        map[string]int
+	servers      map[string]*server
+	order        []*server // by ID
+	requests     map[string]*request
+	timers       map[uint64]attemptRef
+	nextToken    uint64
+	customers    map[uint64]*customer
+	queue        []*customer // customers in the order of first sight, to sweep the idle
+	peers        []peer
+	epoch        int
+	budget       float64
+	done         rate    // answers of all servers
+	quickest     float64 // shortest aim of a class, seconds
+	value        float64 // usual worth per unit of work of what is let in
+
+	mesh    bool                // everyone tells everyone
+	asks    map[uint64]*request // that wait for a home, by number
+	askNo   uint64
+	flow    float64 // part of the requests that servers bear; over 1, all
+	seen    rate    // answers that were seen or told
+	news    newest
+	shorts  map[uint64]*server
+	askRate rate                  // questions that came in
+	trip    time.Duration         // usual time of a home's answer
+	silent  map[int]time.Duration // homes that gave no answer, until then
+	all     survey
+}
+
+type class struct {
+	Class
+	no   int
+	base float64 // usual seconds of an answer
+	n    float64 // answers seen
+}
+
+// told is what one peer last said of a customer.
+type told struct {
+	have        bool
+	used, asked int
+	rate        rate
+}
+
+type customer struct {
+	key           uint64
+	plan          *Plan
+	planNo        int
+	first, spread int
+	at, last      time.Duration // of the last leak, of the last use
+	level, part   float64       // of this gateway's bucket; its part of rate and mark
+	whole         float64       // of the bucket that all gateways together fill, as far as told
+	settled       time.Duration // the level follows what peers told up to then
+	asked         rate
+
+	usedSum, askedSum, askedTold float64
+
+	used            rate
+	metered, factor float64 // what the meter last told, units a second; factor on the part by it
+	meteredAt       time.Duration
+	told            []told
+	queued          []bool
+	open            int
+	store           float64 // units of this gateway's slice of the ceiling
+
+	fleet        rate          // units that all gateways ask of this home
+	asksAll      float64       // units a second that all gateways ask, as the home told ...
+	toldAt, shut time.Duration // ... then; refused at once until then, by the home's word
+	grants       []grant       // of the home
+	wait         float64       // seconds that the home lets refused ones wait
+}
+
+// grant is what a home let one gateway pass on.
+type grant struct {
+	from int
+	no   uint64
+	at   time.Duration
+	ok   bool
+	out  bool // an attempt is out
+}
+
+type server struct {
+	Server
+	slow, outAvg       float64 // times the usual time of a class; its usual load
+	slowAt             time.Duration
+	out                int
+	ghosts             []time.Duration // when the attempts were sent that ended unanswered and may still run
+	miss               []rate          // by class: share left or failed, and when that was known
+	short              uint64          // its name in messages
+	sends              rate
+	lastGood, budgetAt time.Duration
+	budget             float64 // cold budget, in requests
+	coldUntil          time.Duration
+}
+
+// survey counts the servers at each beat and each change of the list, so that no request needs to.
+type survey struct {
+	serving, warm, sends, open float64
+}
+
+type attempt struct {
+	server    *server
+	n         int
+	at        time.Duration
+	over, ran bool // ran: it may have run
+}
+
+type attemptRef struct {
+	id  string
+	n   int
+	due time.Duration
+}
+
+type request struct {
+	Request
+	class               *class
+	cust                *customer
+	units               float64
+	until               time.Duration // no use after this
+	attempts            []*attempt
+	out                 int
+	streaming, finished bool
+	no                  uint64 // of the question to the home
+	asked               int    // questions put
+	askedAt             time.Duration
+	asking              bool
+	granted             int     // the home that let it in, or -1
+	more                float64 // units used beyond those told at first
+}
+
+const beatToken = 1 // timer of the beat; tokens above it name attempts and questions
+
+func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
+
+// New returns a gateway that knows only its configuration. The seed feeds its random choices.
+func New(cfg Config, seed int64) (*Gateway, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	g := &Gateway{cfg: cfg, rng: rand.New(rand.NewSource(seed)), classes: map[string]*class{},
+		plans: map[string]int{}, servers: map[string]*server{}, requests: map[string]*request{},
+		timers: map[uint64]attemptRef{}, nextToken: beatToken + 1, customers: map[uint64]*customer{},
+		asks: map[uint64]*request{}, shorts: map[uint64]*server{}, silent: map[int]time.Duration{}, trip: askFirst, flow: 1, budget: budgetMost}
+	if g.mesh = g.tellsAll(); g.mesh && cfg.Limits.Peers {
+		g.peers = make([]peer, cfg.Gateways)
+	}
+	for i, k := range cfg.Classes {
+		g.classes[k.Name] = &class{no: i, Class: k, base: firstGuess * k.Aim.Seconds()}
+		if g.quickest == 0 || k.Aim.Seconds() < g.quickest {
+			g.quickest = k.Aim.Seconds()
+		}
+	}
+	for i, p := range cfg.Plans {
+		g.plans[p.Name] = i
+	}
+	g.epoch, g.askNo = g.rng.Intn(64*64), uint64(g.rng.Intn(4096))
+	return g, nil
+}
+
+// wake sets a timer for an attempt, or for a question that the number -1 stands for.
+func (g *Gateway) wake(id string, n int, at time.Duration) {
+	g.timers[g.nextToken] = attemptRef{id, n, at}
+	g.do(SetTimer{at, g.nextToken})
+	g.nextToken++
+}
+
+// rate is a sum of units that fades with partMemory; its value is in units a second.
+type rate struct {
+	v  float64
+	at time.Duration
+}
+
+func (r *rate) add(now time.Duration, units float64) {
+	r.v = r.get(now) + units/partMemory.Seconds()
+	r.at = now
+}
+
+func (r *rate) get(now time.Duration) float64 {
+	return r.v * math.Exp(-(now-r.at).Seconds()/partMemory.Seconds())
+}
+
+// inSet reports whether a customer's requests may come in through the gateway of that number.
+func (g *Gateway) inSet(c *customer, rank int) bool {
+	return (rank-c.first+g.cfg.Gateways)%g.cfg.Gateways < c.spread
+}
+
+func (g *Gateway) attempt(id string, n int) *attempt {
+	if r := g.requests[id]; r != nil && n >= 0 && n < len(r.attempts) {
+		return r.attempts[n]
+	}
+	return nil
+}
+
+// server finds a server, or makes it.
+func (g *Gateway) server(id string) *server {
+	if s := g.servers[id]; s != nil {
+		return s
+	}
+	s := &server{slow: 1, outAvg: 0.5, miss: make([]rate, len(g.cfg.Classes)), short: shortKey(id) & shortMask}
+	g.shorts[s.short] = s
+	g.servers[id] = s
+	at, _ := slices.BinarySearchFunc(g.order, id, func(s *server, id string) int {
+		return strings.Compare(s.ID, id)
+	})
+	g.order = slices.Insert(g.order, at, s)
+	return s
+}
+
+func (g *Gateway) customer(key uint64, planNo int) *customer {
+	if c := g.customers[key]; c != nil {
+		c.last = g.now
+		return c
+	}
+	p := &g.cfg.Plans[planNo]
+	c := &customer{key: key, plan: p, planNo: planNo, spread: g.cfg.Gateways, at: g.started, last: g.now,
+		told: make([]told, len(g.peers)), queued: make([]bool, len(g.peers))}
+	c.part, c.factor, c.toldAt = 1/float64(c.spread), 1, -partMemory
+	if !g.mesh {
+		c.whole = startLevel * p.Burst
+	}
+	c.level = c.part * startLevel * p.Burst // leaks, and the store fills, from the start on
+	g.customers[key] = c
+	g.queue = append(g.queue, c)
+	return c
+}
+
+// sweep drops customers that have been idle for long, a few at each beat.
+func (g *Gateway) sweep() {
+	for n := 0; n < 4 && len(g.queue) > 0; n++ {
+		c := g.queue[0]
+		g.queue = g.queue[1:]
+		if c.open == 0 && g.now-c.last > forgetAfter && !slices.Contains(c.queued, true) {
+			delete(g.customers, c.key)
+			continue
+		}
+		g.queue = append(g.queue, c)
+	}
+}
+
+// newest are the last few sights of own requests.
+type newest struct {
+	v [newsOf]sight
+	n int
+}
+
+func (n *newest) add(v sight) {
+	if v.class > maxClass {
+		return // a word has no digit for it
+	}
+	copy(n.v[1:], n.v[:])
+	n.v[0], n.n = v, min(n.n+1, newsOf)
+}
