Build the real gateway round the decision module

One loop goroutine owns decide.Gateway, the request table, timers and the connection pool; readers of clients, servers, discovery and peers only hand over what they read. Writes go to the kernel at once and never make the loop wait. Settings parsing moved to internal/settings, shared with the adapter.

No tests of the new package yet; they come next.

--- a/cmd/wirehost/wire.go
+++ b/cmd/wirehost/wire.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
 	"winghatch/decide"
+	"winghatch/internal/settings"
 )
 
 // host keeps the gateways of this process. They share nothing.
@@ -35,20 +35,11 @@
 	Gateways []replyGateway `json:"gateways"`
 }
 
-// fieldOf names the field at which decoding stopped.
-func fieldOf(err error) error {
-	var t *json.UnmarshalTypeError
-	if errors.As(err, &t) {
-		return fmt.Errorf("field %q: can't take a %s", t.Field, t.Value)
-	}
-	return err
-}
-
 // batch answers one line.
 func (h *host) batch(line []byte) ([]byte, error) {
 	var b batch
 	if err := json.Unmarshal(line, &b); err != nil {
-		return nil, fmt.Errorf("batch %q: %w", b.Batch, fieldOf(err))
+		return nil, fmt.Errorf("batch %q: %w", b.Batch, settings.FieldOf(err))
 	}
 	if b.Batch == "" {
 		return nil, fmt.Errorf("batch %q: field \"batch\" is missing", b.Batch)
@@ -76,7 +67,7 @@
 		M string `json:"m"`
 	}
 	if err := json.Unmarshal(raw, &head); err != nil {
-		return nil, fmt.Errorf("field \"happened\": %w", fieldOf(err))
+		return nil, fmt.Errorf("field \"happened\": %w", settings.FieldOf(err))
 	}
 	switch head.M {
 	case "NewInstance":
@@ -87,7 +78,7 @@
 	}
 	ev, err := parseEvent(head.M, raw)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", head.M, fieldOf(err))
+		return nil, fmt.Errorf("%s: %w", head.M, settings.FieldOf(err))
 	}
 	g := h.gateways[i]
 	if ev == nil || g == nil || g.gw == nil {
@@ -122,14 +113,14 @@
 		ProfileData json.RawMessage
 	}
 	if err := json.Unmarshal(raw, &e); err != nil {
-		return nil, fmt.Errorf("NewInstance: %w", fieldOf(err))
+		return nil, fmt.Errorf("NewInstance: %w", settings.FieldOf(err))
 	}
 	h.gateways[i] = &instance{}
-	cfg, err := parseConfig(e.ProfileData)
+	set, err := settings.Parse(e.ProfileData)
 	if err != nil {
-		return []any{bug(err.Error())}, nil
+		return []any{bug(fmt.Sprintf("ProfileData: %v", err))}, nil
 	}
-	gw, err := decide.New(cfg, int64(e.RandomSeed))
+	gw, err := decide.New(set.Decide, int64(e.RandomSeed))
 	if err != nil {
 		return []any{bug(err.Error())}, nil
 	}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,149 @@
+// Package gateway is the real gateway: the decision module of package decide on sockets. One goroutine, the
+// loop, owns the module and all tables; the goroutines of connections, discovery and peers only read, and
+// hand what they read to the loop. The loop writes without ever waiting for a peer.
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"winghatch/decide"
+	"winghatch/internal/settings"
+)
+
+// Config is what one gateway is told at its start.
+type Config struct {
+	Name       string
+	Listen     netip.AddrPort
+	Discovery  netip.AddrPort
+	Seed       int64
+	Cores      float64
+	MemoryMB   int
+	Sockets    int
+	PeerListen netip.AddrPort   // the zero value: no messages
+	Peers      []netip.AddrPort // by the gateways' numbers
+	Known      serverList       // as this gateway last had it
+	Settings   settings.Settings
+}
+
+// fileConfig is the form of the configuration file.
+type fileConfig struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	PeerListen string          `json:"peer_listen"`
+	Peers      []string        `json:"peers"`
+	Known      serverList      `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
+}
+
+// LoadConfig reads the environment and the file that it names. The environment's own words for name,
+// address and discovery win over the file's, as they are the platform's.
+func LoadConfig(getenv func(string) string) (Config, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return Config{}, fmt.Errorf("GW_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	var f fileConfig
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Config{}, fmt.Errorf("%s: %w", path, settings.FieldOf(err))
+	}
+	for name, field := range map[string]*string{"GW_NAME": &f.Name, "GW_LISTEN": &f.Listen, "GW_DISCOVERY": &f.Discovery} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	c, err := f.config()
+	if err != nil {
+		return Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func (f *fileConfig) config() (Config, error) {
+	c := Config{Name: f.Name, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known}
+	var err error
+	if c.Listen, err = netip.ParseAddrPort(f.Listen); err != nil {
+		return c, fmt.Errorf("listen: %w", err)
+	}
+	if c.Discovery, err = netip.ParseAddrPort(f.Discovery); err != nil {
+		return c, fmt.Errorf("discovery: %w", err)
+	}
+	if c.Cores <= 0 || c.MemoryMB <= 0 || c.Sockets < leastSockets {
+		return c, fmt.Errorf("limits: got %v cores, %d MB, %d sockets, want more than 0, 0 and at least %d",
+			c.Cores, c.MemoryMB, c.Sockets, leastSockets)
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return c, fmt.Errorf("seed: %w", err)
+	}
+	c.Seed = int64(seed)
+	if len(f.Settings) == 0 {
+		return c, fmt.Errorf("settings are missing")
+	}
+	if c.Settings, err = settings.Parse(f.Settings); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	if err := c.Settings.Decide.Validate(); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	if err := c.Known.check(); err != nil {
+		return c, fmt.Errorf("known: %w", err)
+	}
+	return c, f.peers(&c)
+}
+
+// peers reads the addresses between gateways, which are needed only where messages are allowed.
+func (f *fileConfig) peers(c *Config) error {
+	d := c.Settings.Decide
+	if !d.Limits.Peers || f.PeerListen == "" {
+		return nil
+	}
+	var err error
+	if c.PeerListen, err = netip.ParseAddrPort(f.PeerListen); err != nil {
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	for i, p := range f.Peers {
+		addr, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return fmt.Errorf("peers[%d]: %w", i, err)
+		}
+		c.Peers = append(c.Peers, addr)
+	}
+	if len(c.Peers) != d.Gateways {
+		return fmt.Errorf("peers: got %d addresses, want one for each of %d gateways", len(c.Peers), d.Gateways)
+	}
+	return nil
+}
+
+// class finds a class of the settings.
+func (c *Config) class(name string) *decide.Class {
+	for i := range c.Settings.Decide.Classes {
+		if k := &c.Settings.Decide.Classes[i]; k.Name == name {
+			return k
+		}
+	}
+	return nil
+}
+
+func (c *Config) hasPlan(name string) bool {
+	for i := range c.Settings.Decide.Plans {
+		if c.Settings.Decide.Plans[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/gateway/loop.go
@@ -0,0 +1,394 @@
+package gateway
+
+import (
+	"container/heap"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"winghatch/decide"
+)
+
+// event is something that the loop is told by another goroutine.
+type event interface{ apply(l *loop) }
+
+// inbox holds events until the loop takes all of them in one wake-up.
+type inbox struct {
+	mu    sync.Mutex
+	items []event
+	ready chan struct{}
+}
+
+func newInbox() *inbox { return &inbox{ready: make(chan struct{}, 1)} }
+
+func (q *inbox) post(e event) {
+	q.mu.Lock()
+	q.items = append(q.items, e)
+	first := len(q.items) == 1
+	q.mu.Unlock()
+	if first {
+		select {
+		case q.ready <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// take returns what has come in; spare is a former batch whose memory is used again.
+func (q *inbox) take(spare []event) []event {
+	clear(spare)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	items := q.items
+	q.items = spare[:0]
+	return items
+}
+
+// clock tells the time since the Unix epoch. It reads the wall clock once, as servers' start times are told
+// by it, and goes by the monotonic clock from then on, so it never runs backwards.
+type clock struct {
+	start time.Time
+	epoch time.Duration
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{now, time.Duration(now.UnixNano())}
+}
+
+func (c clock) now() time.Duration { return c.epoch + time.Since(c.start) }
+
+// alarm is a call that is due at a time.
+type alarm struct {
+	at time.Duration
+	do func()
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int           { return len(a) }
+func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(x any)        { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	old := *a
+	n := len(old) - 1
+	x := old[n]
+	old[n] = alarm{}
+	*a = old[:n]
+	return x
+}
+
+// request is a client's request until its final answer is given and nothing of it is out.
+type request struct {
+	id       string // the module's; a client's own ids may come twice
+	client   *client
+	slot     *slot
+	cmd      *command
+	attempts []*attempt
+	out      int // attempts that have not ended
+	done     bool
+}
+
+// loop owns the decision module and all that changes. Only its own goroutine touches it.
+type loop struct {
+	cfg      Config
+	log      *slog.Logger
+	clock    clock
+	core     *decide.Gateway
+	in       *inbox
+	peers    *peerLink // nil where messages are not allowed
+	alarms   alarms
+	todo     []decide.Event
+	requests map[string]*request
+	nextID   uint64
+	pool     pool
+	clients  map[*client]struct{}
+	held     int // bytes of the commands of open requests
+	closing  bool
+	restarts int
+}
+
+const (
+	deadlineMargin = 10 * time.Millisecond // an answer leaves so long before the client stops waiting: it
+	// covers the way from the client, whose clock began when it sent the request, and the way back
+	overdueAfter = 5 * time.Millisecond // past its end, a request that the module left open is failed
+	heldMost     = 48 << 20             // bytes of open commands; beyond it new requests are refused
+)
+
+func newLoop(cfg Config, log *slog.Logger) (*loop, error) {
+	l := &loop{cfg: cfg, log: log, clock: newClock(), in: newInbox(), requests: map[string]*request{},
+		clients: map[*client]struct{}{}}
+	l.pool = newPool(l, cfg)
+	if err := l.startCore(); err != nil {
+		return nil, err
+	}
+	l.fleet(decide.FleetStale, cfg.Known)
+	l.drainTodo()
+	return l, nil
+}
+
+func (l *loop) startCore() error {
+	core, err := decide.New(l.cfg.Settings.Decide, l.cfg.Seed+int64(l.restarts))
+	if err != nil {
+		return fmt.Errorf("starting the decision module: %w", err)
+	}
+	l.core = core
+	return nil
+}
+
+// run handles events until the gateway has stopped and owes nothing.
+func (l *loop) run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var batch []event
+	for !l.finished() {
+		if len(l.alarms) > 0 {
+			timer.Reset(l.alarms[0].at - l.clock.now())
+		} else {
+			timer.Reset(time.Hour)
+		}
+		select {
+		case <-l.in.ready:
+			batch = l.in.take(batch)
+			for _, e := range batch {
+				e.apply(l)
+				l.drainTodo()
+			}
+		case <-timer.C:
+		}
+		l.ring()
+	}
+}
+
+// ring makes the calls that are due.
+func (l *loop) ring() {
+	now := l.clock.now()
+	for len(l.alarms) > 0 && l.alarms[0].at <= now {
+		heap.Pop(&l.alarms).(alarm).do()
+		l.drainTodo()
+	}
+}
+
+func (l *loop) at(t time.Duration, do func()) { heap.Push(&l.alarms, alarm{t, do}) }
+
+// feed queues an event for the module. What an action brings about at once waits until the actions before it
+// are carried out.
+func (l *loop) feed(ev decide.Event) { l.todo = append(l.todo, ev) }
+
+func (l *loop) drainTodo() {
+	for i := 0; i < len(l.todo); i++ {
+		if l.todo[i] == nil {
+			continue // dropped by a restart
+		}
+		for _, a := range l.handle(l.todo[i]) {
+			l.perform(a)
+		}
+	}
+	clear(l.todo)
+	l.todo = l.todo[:0]
+}
+
+// handle hands an event to the module. Should the module panic, every request still gets its one answer and
+// the gateway goes on as after a restart; without this a single bad event would lose all that is open.
+func (l *loop) handle(ev decide.Event) (actions []decide.Action) {
+	core := l.core
+	defer func() {
+		if p := recover(); p != nil {
+			l.log.Error("the decision module panicked", "panic", p, "stack", string(debug.Stack()))
+			l.restart(core)
+		}
+	}()
+	return core.Handle(l.clock.now(), ev)
+}
+
+func (l *loop) restart(broken *decide.Gateway) {
+	if l.core != broken {
+		return
+	}
+	l.restarts++
+	if err := l.startCore(); err != nil {
+		l.log.Error("no new decision module", "err", err) // the settings were good before
+		return
+	}
+	for _, r := range l.requests {
+		l.answer(r, redcon.AppendError(nil, "ERR internal error"))
+		for _, a := range r.attempts {
+			l.pool.cancel(a)
+		}
+	}
+	clear(l.todo) // all of it was about what is over
+	l.feed(decide.FleetUpdate{Kind: decide.FleetFull, Servers: l.pool.listed()})
+}
+
+// perform carries out what the module wants.
+func (l *loop) perform(a decide.Action) {
+	switch a := a.(type) {
+	case decide.Send:
+		l.send(a)
+	case decide.Cancel:
+		if r := l.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
+			l.pool.cancel(r.attempts[a.Attempt])
+		}
+	case decide.Refuse:
+		if r := l.requests[a.ID]; r != nil {
+			l.answer(r, busy(a.RetryAfter))
+		}
+	case decide.Fail:
+		if r := l.requests[a.ID]; r != nil {
+			l.answer(r, redcon.AppendError(nil, "ERR failed"))
+		}
+	case decide.SetTimer:
+		core := l.core
+		l.at(a.At, func() {
+			if core == l.core { // else it was set before a restart
+				l.feed(decide.TimerFired{Token: a.Token})
+			}
+		})
+	case decide.Tell:
+		if l.peers == nil {
+			return
+		}
+		if err := l.peers.tell(a.To, a.Text); err != nil {
+			l.log.Debug("a message was not sent", "err", err) // as if lost
+		}
+	case decide.Log:
+		l.log.Info(a.Text)
+	default:
+		l.log.Error("the module wants what this gateway does not do", "action", fmt.Sprintf("%T", a))
+	}
+}
+
+func busy(after time.Duration) []byte {
+	if after <= 0 {
+		return redcon.AppendError(nil, "BUSY")
+	}
+	ms := (after + time.Millisecond - 1) / time.Millisecond
+	return redcon.AppendError(nil, "BUSY "+strconv.FormatInt(int64(ms), 10))
+}
+
+// accept takes a request that has been read whole.
+func (l *loop) accept(c *client, s *slot, cmd *command) {
+	cap := l.cfg.Settings.OpenCap
+	if l.held+cmd.size() > heldMost || (cap > 0 && len(l.requests) >= cap) {
+		c.reply(s, busy(l.cfg.Settings.Decide.Limits.MaxRetryAfter))
+		l.flush(c)
+		return
+	}
+	l.nextID++
+	r := &request{id: strconv.FormatUint(l.nextID, 36), client: c, slot: s, cmd: cmd}
+	s.req = r
+	l.requests[r.id] = r
+	l.held += cmd.size()
+	deadline := cmd.came + cmd.wait - deadlineMargin
+	l.at(deadline+overdueAfter, func() { l.overdue(r) })
+	ev := cmd.req
+	ev.ID, ev.Deadline = r.id, deadline
+	l.feed(ev)
+}
+
+// overdue fails a request that the module has not ended in time. The client must get its one answer before
+// it stops waiting, whatever became of the request.
+func (l *loop) overdue(r *request) {
+	if r.done {
+		return
+	}
+	l.log.Error("a request was left open past its deadline", "class", r.cmd.req.Class)
+	l.answer(r, redcon.AppendError(nil, "ERR failed"))
+	l.feed(decide.ClientGone{ID: r.id})
+}
+
+// answer gives a request its final answer, once.
+func (l *loop) answer(r *request, reply []byte) {
+	if r.done {
+		return
+	}
+	s := r.slot
+	l.end(r)
+	r.client.reply(s, reply)
+	l.flush(r.client)
+}
+
+// abandon ends a request whose client has gone away.
+func (l *loop) abandon(r *request) {
+	if r.done {
+		return
+	}
+	l.end(r)
+	l.feed(decide.ClientGone{ID: r.id})
+}
+
+func (l *loop) end(r *request) {
+	r.done = true
+	r.slot.req = nil
+	l.held -= r.cmd.size()
+	l.drop(r)
+}
+
+// drop forgets a request that is over.
+func (l *loop) drop(r *request) {
+	if r.done && r.out == 0 {
+		delete(l.requests, r.id)
+	}
+}
+
+// send starts an attempt.
+func (l *loop) send(s decide.Send) {
+	r := l.requests[s.ID]
+	if r == nil {
+		return
+	}
+	now := l.clock.now()
+	a := &attempt{req: r, n: len(r.attempts), at: now, until: now + s.Timeout, server: l.pool.servers[s.Server]}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	if r.done {
+		l.ended(a, decide.Moot)
+		return
+	}
+	l.at(a.until, func() { l.pool.expire(a) })
+	l.pool.start(a)
+}
+
+// ended tells the module how an attempt ended.
+func (l *loop) ended(a *attempt, o decide.Outcome) {
+	if a.over {
+		return
+	}
+	a.over = true
+	r := a.req
+	r.out--
+	ev := decide.AttemptEnded{ID: r.id, Attempt: a.n, Outcome: o, Took: l.clock.now() - a.at, Done: r.done}
+	if a.server != nil {
+		ev.Server = a.server.id
+	}
+	l.feed(ev)
+	l.drop(r)
+}
+
+// served passes a value on and ends its attempt.
+func (l *loop) served(a *attempt, value []byte) {
+	l.answer(a.req, value)
+	l.ended(a, decide.OK)
+}
+
+// fleet takes a list of servers.
+func (l *loop) fleet(kind decide.FleetKind, list serverList) {
+	u := decide.FleetUpdate{Kind: kind, Version: list.Version}
+	listed := map[string]bool{}
+	for i := range list.Servers {
+		s := list.Servers[i].server()
+		listed[s.ID] = true
+		u.Servers = append(u.Servers, s)
+		l.pool.update(s, list.Servers[i].Addr)
+	}
+	if kind != decide.FleetDelta {
+		l.pool.keepOnly(listed)
+	}
+	l.feed(u)
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+
+	"winghatch/decide"
+)
+
+const datagramMost = 256 // bytes of a message between gateways
+
+// peerLink is the socket to the other gateways.
+type peerLink struct {
+	conn  *net.UDPConn
+	addrs []netip.AddrPort
+	ranks map[netip.AddrPort]int
+}
+
+// datagram hands a peer's message to the loop.
+type datagram struct {
+	from int
+	text string
+}
+
+func (d datagram) apply(l *loop) { l.feed(decide.PeerMessage{From: d.from, Text: d.text}) }
+
+func openPeers(listen netip.AddrPort, addrs []netip.AddrPort) (*peerLink, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+	if err != nil {
+		return nil, fmt.Errorf("listening for peers: %w", err)
+	}
+	p := &peerLink{conn: conn, addrs: addrs, ranks: map[netip.AddrPort]int{}}
+	for i, a := range addrs {
+		p.ranks[a] = i
+	}
+	return p, nil
+}
+
+// tell sends a message to a gateway by its number. It may be lost, as any datagram.
+func (p *peerLink) tell(to int, text string) error {
+	if to < 0 || to >= len(p.addrs) || len(text) > datagramMost {
+		return fmt.Errorf("message of %d bytes to gateway %d can't be sent", len(text), to)
+	}
+	if _, err := p.conn.WriteToUDPAddrPort([]byte(text), p.addrs[to]); err != nil {
+		return fmt.Errorf("telling gateway %d: %w", to, err)
+	}
+	return nil
+}
+
+// read hands on the messages of known gateways until the socket is closed. What comes from elsewhere or is
+// too long is dropped: anyone may send to the port.
+func (p *peerLink) read(post func(event), log *slog.Logger) {
+	buf := make([]byte, datagramMost+1)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			log.Debug("reading from peers", "err", err) // such as a refusal by a peer that is down
+			continue
+		}
+		rank, ok := p.ranks[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if !ok || n > datagramMost {
+			continue
+		}
+		post(datagram{rank, string(buf[:n])})
+	}
+}
--- a/cmd/wirehost/config.go
+++ b/internal/settings/settings.go
@@ -1,15 +1,18 @@
-package main
+// Package settings reads the settings object that a gateway is given when it starts: by the simulator's first
+// message or in a real gateway's configuration, in the same words.
+package settings
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
 	"winghatch/decide"
 )
 
-// settings are the wire's words for decide.Config. Keys that are not named here are ignored.
-type settings struct {
+// wire are the wire's words for decide.Config. Keys that are not named here are ignored.
+type wire struct {
 	Classes []struct {
 		Name, Effect, Group               string
 		AimNs, GiveUpNs, WindowNs         int64
@@ -31,7 +34,8 @@
 	Limits struct {
 		SendCap                                             int
 		ParallelTries, MayCancel, Peers, Probes, RetryAfter bool
-		MaxRetryAfterNs, ConnectTimeoutNs                   int64
+		MaxRetryAfterNs, ConnectTimeoutNs, ConnIdleNs       int64
+		OpenCap                                             int
 	}
 	Safety struct {
 		AnswerSlackNs, DrainGraceNs, ColdNs, FallNs, AskWithinNs int64
@@ -45,11 +49,33 @@
 	MembershipMode, Zone string
 }
 
-func parseConfig(raw json.RawMessage) (decide.Config, error) {
-	var s settings
+// Settings is what a host of the decision module needs to know.
+type Settings struct {
+	Decide   decide.Config
+	ConnIdle time.Duration // a server closes a connection that has stood idle for so long
+	OpenCap  int           // requests open at once; 0: no limit
+}
+
+// FieldOf names the field at which decoding stopped.
+func FieldOf(err error) error {
+	var t *json.UnmarshalTypeError
+	if errors.As(err, &t) {
+		return fmt.Errorf("field %q: can't take a %s", t.Field, t.Value)
+	}
+	return err
+}
+
+// Parse reads a settings object. Whether a gateway can work with it is for decide.New to say.
+func Parse(raw json.RawMessage) (Settings, error) {
+	var s wire
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return decide.Config{}, fmt.Errorf("ProfileData: %w", fieldOf(err))
+		return Settings{}, FieldOf(err)
 	}
+	c, err := s.config()
+	return Settings{Decide: c, ConnIdle: time.Duration(s.Limits.ConnIdleNs), OpenCap: s.Limits.OpenCap}, err
+}
+
+func (s *wire) config() (decide.Config, error) {
 	c := decide.Config{Rank: s.Rank, Gateways: s.Instances, Zone: s.Zone, SettledLater: s.Extra.CostAfter,
 		MaxUnits: s.Extra.UnitsTop, MeterPeriod: time.Duration(s.Extra.MeterNs), PeerIntake: s.Extra.PeerIntake,
 		Counter: s.Extra.HasCounter, CounterTimeout: time.Duration(s.Extra.CountWaitNs),
@@ -70,11 +96,11 @@
 	for i, k := range s.Classes {
 		effect, ok := effects[k.Effect]
 		if !ok {
-			return c, fmt.Errorf("ProfileData: Classes[%d].Effect: unknown %q", i, k.Effect)
+			return c, fmt.Errorf("Classes[%d].Effect: unknown %q", i, k.Effect)
 		}
 		group, ok := groups[k.Group]
 		if !ok {
-			return c, fmt.Errorf("ProfileData: Classes[%d].Group: unknown %q", i, k.Group)
+			return c, fmt.Errorf("Classes[%d].Group: unknown %q", i, k.Group)
 		}
 		c.Classes = append(c.Classes, decide.Class{Name: k.Name, Effect: effect, Group: group,
 			Window: time.Duration(k.WindowNs), Aim: time.Duration(k.AimNs), AimStretch: k.AimStretch,
