Test the gateway over loopback sockets

Order of pipelined answers, malformed commands and framing, keyed requests and their cell, refusals for what never ran, silent servers, clients that leave, drains, the stop, and, with the loop driven by hand, late connections, a panic of the module, idle and bounded connections.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -81,12 +81,14 @@
 type watcher struct {
 	client *http.Client
 	base   string
+	wait   time.Duration // of a watch
+	over   time.Duration
 	post   func(event)
 	log    *slog.Logger
 }
 
 func newWatcher(addr netip.AddrPort, post func(event), log *slog.Logger) *watcher {
-	return &watcher{base: "http://" + addr.String() + "/v1/servers", post: post, log: log, client: &http.Client{
+	return &watcher{base: "http://" + addr.String() + "/v1/servers", wait: watchWait, over: watchOver, post: post, log: log, client: &http.Client{
 		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: watchOver}).DialContext,
 			MaxIdleConns: 1, DisableCompression: true}}}
 }
@@ -100,10 +102,10 @@
 	for ctx.Err() == nil {
 		url, wait := w.base, time.Duration(0)
 		if known {
-			wait = watchWait
+			wait = w.wait
 			url = fmt.Sprintf("%s?after=%d&wait_ms=%d", w.base, version, wait.Milliseconds())
 		}
-		list, err := w.fetch(ctx, url, wait+watchOver)
+		list, err := w.fetch(ctx, url, wait+w.over)
 		if err != nil {
 			if !failing && ctx.Err() == nil {
 				w.log.Warn("discovery is failing", "err", err)
--- /dev/null
+++ b/internal/gateway/loop_test.go
@@ -0,0 +1,283 @@
+package gateway
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"winghatch/decide"
+)
+
+// still is a loop that a test drives by hand.
+func still(t *testing.T, servers []serverEntry) *loop {
+	t.Helper()
+	l, err := newLoop(testConfig(t, long, servers), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// pair returns both ends of a connection.
+func pair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if near, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if far, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close(); far.Close() })
+	if err := far.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	return near, far
+}
+
+// open puts a request into the loop as if it had been read from a connection.
+func open(t *testing.T, l *loop) (*request, net.Conn) {
+	t.Helper()
+	near, far := pair(t)
+	out, err := newOutlet(near)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &client{outlet: out, resume: make(chan struct{}, 1)}
+	l.clients[c] = struct{}{}
+	got := interpret(&l.cfg, [][]byte{[]byte("Q.ASK"), []byte(customer), []byte("id"),
+		[]byte("c=look,t=p,d=30000,units=1,spread=2,first=0")}, l.clock.now())
+	commands{c: c, got: []received{got}}.apply(l)
+	for _, r := range l.requests {
+		return r, far
+	}
+	t.Fatal("the request is not open")
+	return nil, nil
+}
+
+func text(t *testing.T, conn net.Conn) string {
+	t.Helper()
+	b, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+// unreachable is a server that no test lets a gateway reach: attempts at it stay in their dial.
+func unreachable(t *testing.T) []serverEntry {
+	return entries("up", newBackend(t))
+}
+
+// A connection that comes up after its attempt was called off, or after its server was drained or moved, must
+// carry nothing.
+func TestLateConnectionCarriesNothing(t *testing.T) {
+	for name, meanwhile := range map[string]func(l *loop, r *request){
+		"cancelled": func(l *loop, r *request) { l.pool.cancel(r.attempts[0]) },
+		"timed out": func(l *loop, r *request) { l.pool.expire(r.attempts[0]) },
+		"left":      func(l *loop, r *request) { l.closeClient(r.client) },
+		"draining": func(l *loop, r *request) {
+			l.fleet(decide.FleetDelta, serverList{Version: 2, Servers: []serverEntry{{ID: "s-0", Addr: r.attempts[0].server.addr, State: "draining"}}})
+		},
+		"moved": func(l *loop, r *request) {
+			l.fleet(decide.FleetDelta, serverList{Version: 2, Servers: []serverEntry{{ID: "s-0", Addr: "127.0.0.1:1", State: "up"}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := still(t, unreachable(t))
+			r, _ := open(t, l)
+			a, addr := r.attempts[0], r.attempts[0].server.addr
+			meanwhile(l, r)
+			near, far := pair(t)
+			dialed{a, addr, near, nil}.apply(l)
+			l.pool.closeIdle(a.server)
+			if got := text(t, far); got != "" {
+				t.Errorf("the server got %q", got)
+			}
+		})
+	}
+}
+
+// Without a fault in between the same connection carries the request, so the test above can fail.
+func TestConnectionCarriesItsAttempt(t *testing.T) {
+	l := still(t, unreachable(t))
+	r, _ := open(t, l)
+	near, far := pair(t)
+	dialed{r.attempts[0], r.attempts[0].server.addr, near, nil}.apply(l)
+	l.pool.cancel(r.attempts[0])
+	if got := text(t, far); !strings.Contains(got, "Q.ASK") {
+		t.Errorf("the server got %q", got)
+	}
+}
+
+// A module that panics must cost no client its answer.
+func TestPanicAnswersAll(t *testing.T) {
+	l := still(t, unreachable(t))
+	_, far := open(t, l)
+	broken := &decide.Gateway{} // not made by New
+	l.core = broken
+	l.feed(decide.FleetUpdate{Servers: []decide.Server{{ID: "s"}}})
+	l.drainTodo()
+	if l.core == broken || len(l.requests) != 0 {
+		t.Errorf("%d requests are open, new module %v", len(l.requests), l.core != broken)
+	}
+	for c := range l.clients {
+		l.closeClient(c)
+	}
+	if got := text(t, far); got != "-ERR internal error\r\n" {
+		t.Errorf("the client got %q", got)
+	}
+	r, _ := open(t, l)
+	if len(r.attempts) != 1 {
+		t.Error("the new module sends nothing")
+	}
+}
+
+// A request that the module forgot is failed before its client stops waiting, once.
+func TestOverdueRequestIsFailed(t *testing.T) {
+	l := still(t, unreachable(t))
+	r, far := open(t, l)
+	c := r.client
+	l.overdue(r)
+	l.overdue(r)
+	l.drainTodo()
+	l.closeClient(c)
+	if got := text(t, far); got != "-ERR failed\r\n" {
+		t.Errorf("the client got %q", got)
+	}
+	if len(l.requests) != 0 {
+		t.Errorf("%d requests are still known", len(l.requests))
+	}
+}
+
+// Idle connections are retired before a server may close them, and none is used with an answer owed.
+func TestIdleConnectionsAreRetired(t *testing.T) {
+	l := still(t, unreachable(t))
+	r, _ := open(t, l)
+	a := r.attempts[0]
+	near, far := pair(t)
+	dialed{a, a.server.addr, near, nil}.apply(l)
+	answered{a.conn, decide.OK, []byte("$1\r\nv\r\n"), false}.apply(l)
+	if len(a.server.idle) != 1 {
+		t.Fatalf("%d connections are idle, want 1", len(a.server.idle))
+	}
+	if l.pool.idleFor*2 > l.cfg.Settings.ConnIdle {
+		t.Errorf("retired after %v, want well before %v", l.pool.idleFor, l.cfg.Settings.ConnIdle)
+	}
+	a.server.idle[0].used -= l.pool.idleFor
+	l.pool.sweep()
+	text(t, far)
+	if len(a.server.idle) != 0 || l.pool.conns != 0 || a.server.conns != 0 {
+		t.Errorf("idle %d, open %d, of the server %d; want none", len(a.server.idle), l.pool.conns, a.server.conns)
+	}
+}
+
+// An answer that nobody asked for must not pass for that of the next request.
+func TestUnaskedAnswerClosesTheConnection(t *testing.T) {
+	l := still(t, unreachable(t))
+	r, _ := open(t, l)
+	a := r.attempts[0]
+	near, far := pair(t)
+	dialed{a, a.server.addr, near, nil}.apply(l)
+	c := a.conn
+	answered{c, decide.OK, []byte("$1\r\nv\r\n"), false}.apply(l)
+	answered{c, decide.OK, []byte("$1\r\nw\r\n"), false}.apply(l)
+	text(t, far)
+	if len(a.server.idle) != 0 {
+		t.Error("the connection is kept")
+	}
+}
+
+// Connections are bounded, and the one idle for longest gives way.
+func TestConnectionsAreBounded(t *testing.T) {
+	l := still(t, unreachable(t))
+	s := l.pool.servers["s-0"]
+	for _, full := range []func(){func() { s.conns = perServerMost }, func() { l.pool.conns = l.pool.most }} {
+		l.pool.conns, s.conns = 0, 0
+		full()
+		a := &attempt{req: &request{id: "r"}, server: s}
+		if l.pool.start(a); !a.over {
+			t.Error("a connection over the bound is made")
+		}
+	}
+	near, far := pair(t)
+	out, err := newOutlet(near)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.pool.conns = 1
+	s.conns = 1
+	l.pool.park(&upConn{outlet: out, server: s})
+	l.pool.evict()
+	text(t, far)
+	if l.pool.conns != 0 {
+		t.Errorf("%d connections are left", l.pool.conns)
+	}
+}
+
+func TestParseAnswer(t *testing.T) {
+	for in, want := range map[string]struct {
+		o     decide.Outcome
+		value string
+	}{
+		"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n":    {decide.OK, "$1\r\nv\r\n"},
+		"*1\r\n$0\r\n\r\n":                   {decide.OK, "$0\r\n\r\n"},
+		"*3\r\n$-1\r\n$-1\r\n$-1\r\n":        {decide.Error, ""},
+		"*0\r\n":                             {decide.Error, ""},
+		"*-1\r\n":                            {decide.Error, ""},
+		"*1\r\n:5\r\n":                       {decide.Error, ""},
+		"$1\r\nv\r\n":                        {decide.Error, ""},
+		"+OK\r\n":                            {decide.Error, ""},
+		"-ERR failed inflight=7,queue=2\r\n": {decide.Error, ""},
+		"-BUSY\r\n":                          {decide.Full, ""},
+		"-BUSY draining\r\n":                 {decide.Full, ""},
+		"-BUSYBODY\r\n":                      {decide.Error, ""},
+	} {
+		used, o, value, ok := parseAnswer([]byte(in))
+		if used != len(in) || o != want.o || string(value) != want.value || !ok {
+			t.Errorf("%q: got %d bytes, %v, %q, %v", in, used, o, value, ok)
+		}
+	}
+	for _, in := range []string{"hello", "$9223372036854775807\r\n"} {
+		if _, _, _, ok := parseAnswer([]byte(in)); ok {
+			t.Errorf("%q passes for an answer", in)
+		}
+	}
+	if used, _, _, ok := parseAnswer([]byte("*3\r\n$4\r\nva")); used != 0 || !ok {
+		t.Error("an answer that is not whole yet is not waited for")
+	}
+}
+
+func FuzzParseAnswer(f *testing.F) {
+	f.Add([]byte("*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"))
+	f.Add([]byte("$-9\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if len(b) == 0 {
+			return
+		}
+		used, o, value, ok := parseAnswer(b)
+		if used > len(b) || (ok && used > 0 && (o == decide.OK) != (len(value) > 0)) {
+			t.Errorf("%q: %d bytes, %v, %q", b, used, o, value)
+		}
+	})
+}
+
+func FuzzNextCommand(f *testing.F) {
+	f.Add([]byte("*1\r\n$4\r\nPING\r\n"))
+	f.Add([]byte("*1\r\n$-9\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if len(b) == 0 {
+			return
+		}
+		if used, _, err := nextCommand(b, nil); used > len(b) || used < 0 || (err != nil && used != 0) {
+			t.Errorf("%q: %d bytes, %v", b, used, err)
+		}
+	})
+}
