--- /dev/null
+++ b/internal/gateway/told_test.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"winghatch/decide"
+)
+
+// A watch that is silent is given up and made again, and the next call goes on from the version last told.
+// Without the bound a gateway would wait for ever on discovery that went down with the call in hand.
+func TestWatchOutlivesSilence(t *testing.T) {
+	calls := make(chan string, 16)
+	n := 0
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		calls <- req.URL.RawQuery
+		n++ // calls come one after the other
+		switch n {
+		case 1:
+			fmt.Fprint(w, `{"version":41,"full":true,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"up","cell":3,"started_ms":7}]}`)
+		case 2, 5:
+			<-req.Context().Done()
+		case 3:
+			w.WriteHeader(http.StatusInternalServerError)
+		case 4:
+			fmt.Fprint(w, `{"version":43,"full":false,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"odd"}]}`)
+		default:
+			fmt.Fprint(w, `{"version":42,"full":false,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"draining"}]}`)
+		}
+	}))
+	defer web.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	news := make(chan fleetNews, 16)
+	w := newWatcher(netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://")), func(e event) {
+		select {
+		case news <- e.(fleetNews):
+		default: // the last case goes on answering
+		}
+	}, slog.New(slog.DiscardHandler))
+	w.wait, w.over = 10*time.Millisecond, 200*time.Millisecond
+	go w.run(ctx)
+	for _, want := range []string{"", "after=41&wait_ms=10", "after=41&wait_ms=10", "after=41&wait_ms=10", "after=41&wait_ms=10", "after=41&wait_ms=10", "after=42&wait_ms=10"} {
+		if got := <-calls; got != want {
+			t.Errorf("call %q, want %q", got, want)
+		}
+	}
+	first, second := <-news, <-news
+	if s := first.list.Servers[0].server(); first.kind != decide.FleetFull || s.State != decide.Serving || s.Started != 7*time.Millisecond || s.Cell != 3 {
+		t.Errorf("first told %+v", first)
+	}
+	if s := second.list.Servers[0].server(); second.kind != decide.FleetDelta || s.State != decide.Draining {
+		t.Errorf("then told %+v", second)
+	}
+}
+
+// Only messages of at most 256 bytes from a known gateway are taken.
+func TestPeers(t *testing.T) {
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	stranger, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	known, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer known.Close()
+	addr := func(c *net.UDPConn) netip.AddrPort { return c.LocalAddr().(*net.UDPAddr).AddrPort() }
+	p, err := openPeers(local, []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), addr(known)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan event, 4)
+	go p.read(func(e event) { got <- e }, slog.New(slog.DiscardHandler))
+	defer p.conn.Close()
+	for _, m := range []struct {
+		from *net.UDPConn
+		text string
+	}{{stranger, "hi"}, {known, strings.Repeat("x", datagramMost+1)}, {known, strings.Repeat("y", datagramMost)}} {
+		if _, err := m.from.WriteToUDPAddrPort([]byte(m.text), addr(p.conn)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if d := (<-got).(datagram); d.from != 1 || d.text != strings.Repeat("y", datagramMost) {
+		t.Errorf("got %d bytes from %d", len(d.text), d.from)
+	}
+	if err := p.tell(1, "hello"); err != nil {
+		t.Fatal(err)
+	}
+	buf := make([]byte, 16)
+	if n, from, err := known.ReadFromUDPAddrPort(buf); err != nil || string(buf[:n]) != "hello" || from != addr(p.conn) {
+		t.Errorf("the peer got %q from %v, %v", buf[:n], from, err)
+	}
+	for _, to := range []int{-1, 2} {
+		if p.tell(to, "x") == nil {
+			t.Errorf("a message to gateway %d was sent", to)
+		}
+	}
+	if p.tell(1, strings.Repeat("x", datagramMost+1)) == nil {
+		t.Error("a message that is too long was sent")
+	}
+}
+
+// What a peer sends must never stop the module.
+func TestGarbageFromPeers(t *testing.T) {
+	l := still(t, unreachable(t))
+	before := l.core
+	for _, s := range []string{"", "c", "c0000", "czzzz!", "c0000ABC", "c0000" + strings.Repeat("_", 12), strings.Repeat("\xff", 256)} {
+		datagram{1, s}.apply(l)
+		l.drainTodo()
+	}
+	if l.core != before {
+		t.Error("the module panicked")
+	}
+}
+
+const sample = `{"name":"n3","listen":"127.0.0.1:6379","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peer_listen":"127.0.0.1:7946",
+"peers":["127.0.0.1:7946","127.0.0.2:7946"],"known":{"version":41,"full":true,"servers":[
+{"id":"s-5","addr":"127.0.0.1:5","zone":"a","kind":"m2","cell":3,"state":"up","weight":1.0,"started_ms":0}]},"settings":SETTINGS}`
+
+func TestLoadConfig(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	load := func(text string) (Config, error) {
+		text = strings.Replace(text, "SETTINGS", fmt.Sprintf(profile, 5), 1)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		env := map[string]string{"GW_CONFIG": path, "GW_LISTEN": "127.0.0.9:1"}
+		return LoadConfig(func(name string) string { return env[name] })
+	}
+	c, err := load(sample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Listen.String() != "127.0.0.9:1" || c.Discovery.Port() != 8500 || len(c.Peers) != 2 ||
+		uint64(c.Seed) != 0x8c1f30d27a5be964 || c.Known.Servers[0].ID != "s-5" || len(c.Settings.Decide.Classes) != 2 {
+		t.Errorf("got %+v", c)
+	}
+	for edit, want := range map[string]string{
+		`{"name"|{name`:                                    "invalid character",
+		`"8c1f30d27a5be964"|"x"`:                           "seed",
+		`"discovery":"127.0.0.1:8500"|"x":1`:               "discovery",
+		`"sockets":1024|"sockets":10`:                      "sockets",
+		`"memory_mb":192|"memory_mb":"x"`:                  "memory_mb",
+		`"state":"up"|"state":"odd"`:                       "odd",
+		`"addr":"127.0.0.1:5"|"addr":"nowhere"`:            "s-5",
+		`"127.0.0.2:7946"]|"127.0.0.2:7946","x"]`:          "peers[2]",
+		`,"127.0.0.2:7946"]|]`:                             "peers",
+		`"peer_listen":"127.0.0.1:7946"|"peer_listen":"x"`: "peer_listen",
+		`"settings":SETTINGS|"x":1`:                        "settings",
+		`SETTINGS|{"Classes":3}`:                           "Classes",
+		`SETTINGS|{}`:                                      "Gateways is 0",
+	} {
+		from, to, _ := strings.Cut(edit, "|")
+		if _, err := load(strings.Replace(sample, from, to, 1)); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got error %v, want one line with %q", to, err, want)
+		}
+	}
+	for _, env := range []string{"", filepath.Join(t.TempDir(), "none")} {
+		if _, err := LoadConfig(func(string) string { return env }); err == nil {
+			t.Errorf("GW_CONFIG %q passes", env)
+		}
+	}
+}
