Find out at once when discovery is back; keep a gone server's cell

Seen by reading: a watch can't tell silence from no news, so after an outage a gateway could go on for one whole watch (up to 6 s) before it heard of a drain. After a failed call, short calls bounded at 250 ms now ask until one is answered; a watch is 4 s, so that news lost with it is heard well before it counts as told. An entry that says 'removed' without cell or zone would have changed where a keyed request may be repeated; the first told stay. A client's d is bounded by its class, and a finished request's memory is let go, not held by its alarms.

--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -16,7 +16,7 @@
 const (
 	idMost   = 128     // bytes of a request's id
 	listMax  = 1 << 10 // bytes of its list of names and values
-	waitMost = time.Hour
+	waitMost = time.Minute
 )
 
 // command is a request as a client sent it.
@@ -25,6 +25,7 @@
 	before, tail []byte   // of the list, round the figure of d
 	came         time.Duration
 	wait         time.Duration  // d
+	limit        time.Duration  // of its class: no client waits longer
 	req          decide.Request // without id and deadline
 }
 
@@ -85,6 +86,9 @@
 	if (k.Effect == decide.Safe) != (name == "Q.ASK") {
 		return nil, errors.New("the class goes with the other command")
 	}
+	if c.limit = k.Deadline; c.limit <= 0 {
+		c.limit = waitMost
+	}
 	return c, nil
 }
 
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -15,8 +16,9 @@
 )
 
 const (
-	watchWait  = 5 * time.Second // a call waits so long for news ...
-	watchOver  = time.Second     // ... and is given up so long after: discovery that is down says nothing
+	watchWait  = 4 * time.Second        // a watch waits so long for news ...
+	watchOver  = 500 * time.Millisecond // ... and is given up so long after: discovery that is down says nothing
+	checkMost  = 250 * time.Millisecond // a call that need not wait is given up after this
 	watchRetry = 50 * time.Millisecond
 	listMost   = 8 << 20 // bytes of a list
 )
@@ -83,29 +85,37 @@
 	base   string
 	wait   time.Duration // of a watch
 	over   time.Duration
+	check  time.Duration
 	post   func(event)
 	log    *slog.Logger
 }
 
 func newWatcher(addr netip.AddrPort, post func(event), log *slog.Logger) *watcher {
-	return &watcher{base: "http://" + addr.String() + "/v1/servers", wait: watchWait, over: watchOver, post: post, log: log, client: &http.Client{
+	return &watcher{base: "http://" + addr.String() + "/v1/servers", wait: watchWait, over: watchOver, check: checkMost, post: post, log: log, client: &http.Client{
 		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: watchOver}).DialContext,
 			MaxIdleConns: 1, DisableCompression: true}}}
 }
 
 // run asks for the whole list and then watches for changes until the context ends. The next call goes out as
-// soon as the last one is answered, so that the watch goes on. A call that fails is made again: without that,
-// a gateway would go on sending to servers that were drained while discovery was down.
+// soon as the last one is answered, so that the watch goes on. A watch can't tell discovery that is down from
+// a fleet that does not change, so after a failure short calls, which are answered at once, find out when
+// discovery is back. Without them a gateway would learn of a drain only seconds after that, and go on sending.
 func (w *watcher) run(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
 	version, known, failing := uint64(0), false, false
 	for ctx.Err() == nil {
-		url, wait := w.base, time.Duration(0)
+		url, within := w.base, w.check
 		if known {
-			wait = w.wait
+			wait := time.Duration(0)
+			if !failing {
+				wait, within = w.wait, w.wait+w.over
+			}
 			url = fmt.Sprintf("%s?after=%d&wait_ms=%d", w.base, version, wait.Milliseconds())
 		}
-		list, err := w.fetch(ctx, url, wait+w.over)
+		list, err := w.fetch(ctx, url, within)
+		if err == nil && !known && !list.Full {
+			err = errors.New("changes to a list that this gateway does not hold")
+		}
 		if err != nil {
 			if !failing && ctx.Err() == nil {
 				w.log.Warn("discovery is failing", "err", err)
@@ -122,10 +132,6 @@
 		if list.Full || len(list.Servers) > 0 {
 			w.post(fleetNews{kind, list})
 		}
-		if !known && !list.Full {
-			sleep(ctx, watchRetry) // changes to a list that this gateway does not hold
-			continue
-		}
 		version, known = list.Version, true
 	}
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -285,7 +285,7 @@
 	s.req = r
 	l.requests[r.id] = r
 	l.held += cmd.size()
-	deadline := cmd.came + cmd.wait - deadlineMargin
+	deadline := cmd.came + min(cmd.wait, cmd.limit) - deadlineMargin
 	l.at(deadline+overdueAfter, func() { l.overdue(r) })
 	ev := cmd.req
 	ev.ID, ev.Deadline = r.id, deadline
@@ -298,7 +298,7 @@
 	if r.done {
 		return
 	}
-	l.log.Error("a request was left open past its deadline", "class", r.cmd.req.Class)
+	l.log.Error("a request was left open past its deadline", "class", r.cmd.req.Class, "attempts", len(r.attempts))
 	l.answer(r, redcon.AppendError(nil, "ERR failed"))
 	l.feed(decide.ClientGone{ID: r.id})
 }
@@ -334,6 +334,7 @@
 func (l *loop) drop(r *request) {
 	if r.done && r.out == 0 {
 		delete(l.requests, r.id)
+		r.cmd, r.attempts = nil, nil // its alarms hold the request for a while yet
 	}
 }
 
@@ -383,6 +384,12 @@
 	listed := map[string]bool{}
 	for i := range list.Servers {
 		s := list.Servers[i].server()
+		if old := l.pool.servers[s.ID]; old != nil && s.State == decide.Gone {
+			// What is gone may come without its cell and zone. The module goes by them for where a keyed
+			// request may be repeated, so those that were told first stay.
+			s = old.entry
+			s.State = decide.Gone
+		}
 		listed[s.ID] = true
 		u.Servers = append(u.Servers, s)
 		l.pool.update(s, list.Servers[i].Addr)
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -18,7 +18,8 @@
 )
 
 // A watch that is silent is given up and made again, and the next call goes on from the version last told.
-// Without the bound a gateway would wait for ever on discovery that went down with the call in hand.
+// Without the bound a gateway would wait for ever on discovery that went down with the call in hand; with a
+// watch instead of short calls it would learn that discovery is back only when that watch is over.
 func TestWatchOutlivesSilence(t *testing.T) {
 	calls := make(chan string, 16)
 	n := 0
@@ -48,9 +49,10 @@
 		default: // the last case goes on answering
 		}
 	}, slog.New(slog.DiscardHandler))
-	w.wait, w.over = 10*time.Millisecond, 200*time.Millisecond
+	w.wait, w.over, w.check = 10*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond
 	go w.run(ctx)
-	for _, want := range []string{"", "after=41&wait_ms=10", "after=41&wait_ms=10", "after=41&wait_ms=10", "after=41&wait_ms=10", "after=41&wait_ms=10", "after=42&wait_ms=10"} {
+	for _, want := range []string{"", "after=41&wait_ms=10", "after=41&wait_ms=0", "after=41&wait_ms=0", "after=41&wait_ms=0",
+		"after=41&wait_ms=0", "after=42&wait_ms=10"} {
 		if got := <-calls; got != want {
 			t.Errorf("call %q, want %q", got, want)
 		}
