--- /dev/null
+++ b/cmd/sloepick/main_test.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test's own binary stand for the program, so that a test can start and stop a real process.
+func TestMain(m *testing.M) {
+	if os.Getenv("SLOEPICK_TEST_MAIN") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func program(t *testing.T, config string, env ...string) *exec.Cmd {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(append(os.Environ(), "SLOEPICK_TEST_MAIN=1", "GW_CONFIG="+path), env...)
+	return cmd
+}
+
+// What can't be used is one clear line and a failure, not a stack or a gateway that serves nobody.
+func TestBadStart(t *testing.T) {
+	for name, cmd := range map[string]*exec.Cmd{
+		"no config":  program(t, "", "GW_CONFIG="),
+		"no file":    program(t, "", "GW_CONFIG="+filepath.Join(t.TempDir(), "none")),
+		"empty file": program(t, ""),
+		"no listen":  program(t, `{"discovery":"127.0.0.1:1"}`, "GW_LISTEN="),
+	} {
+		var stderr bytes.Buffer
+		cmd.Stderr = &stderr
+		err := cmd.Run()
+		if exit, ok := err.(*exec.ExitError); !ok || exit.ExitCode() != 1 {
+			t.Errorf("%s: ended with %v, want exit code 1", name, err)
+		}
+		if s := stderr.String(); !strings.HasPrefix(s, "sloepick: ") || strings.Count(s, "\n") != 1 {
+			t.Errorf("%s: said %q, want one line", name, s)
+		}
+	}
+}
+
+const config = `{"name":"n0","listen":"%s","discovery":"%s","seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":128},
+"known":{},"settings":{"Instances":1,"Rank":0,"Limits":{"SendCap":1},"Safety":{},
+"Classes":[{"Name":"look","Effect":"safe","AimNs":1000000000}],"TiersOfService":[{"Name":"p"}]}}`
+
+// SIGTERM ends the program with exit code 0 and its connections in order.
+func TestSigterm(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.RawQuery != "" {
+			<-req.Context().Done() // no news
+			return
+		}
+		fmt.Fprint(w, `{"version":1,"full":true,"servers":[]}`)
+	}))
+	defer web.Close()
+	cmd := program(t, fmt.Sprintf(config, addr, strings.TrimPrefix(web.URL, "http://")))
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	log := bufio.NewReader(stderr)
+	var conn net.Conn
+	for deadline := time.Now().Add(20 * time.Second); ; {
+		if conn, err = net.Dial("tcp", addr); err == nil {
+			break
+		}
+		if time.Now().After(deadline) {
+			cmd.Process.Kill()
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	defer conn.Close()
+	rd := bufio.NewReader(conn)
+	fmt.Fprint(conn, "*1\r\n$4\r\nPING\r\n")
+	if line, err := rd.ReadString('\n'); line != "+PONG\r\n" {
+		t.Errorf("got %q, %v", line, err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := rd.ReadByte(); err == nil || err.Error() != "EOF" {
+		t.Errorf("the connection ended with %v", err)
+	}
+	for err = nil; err == nil; {
+		_, err = log.ReadString('\n')
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v, want exit code 0", err)
+	}
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -234,13 +234,21 @@
 	s.c.busy = false
 	if s.err == nil {
 		s.a.whole = true
-		return
 	}
-	if s.c.closed {
+	if s.err == nil && !s.c.closed {
 		return
 	}
 	l.pool.close(s.c)
-	l.ended(s.a, decide.NoConnection)
+	l.pool.broken(s.a)
+}
+
+// broken ends an attempt whose connection broke. Before its last byte was written it never ran.
+func (p *pool) broken(a *attempt) {
+	o := decide.NoConnection
+	if a.whole {
+		o = decide.Reset
+	}
+	p.l.ended(a, o)
 }
 
 // park keeps a connection for the next attempt.
@@ -351,14 +359,9 @@
 		return
 	}
 	l.pool.close(c)
-	if a == nil {
-		return
-	}
-	o := decide.NoConnection
-	if a.whole || c.busy { // the writer may have written the last byte by now: unsure is not never
-		o = decide.Reset
+	if a != nil && !c.busy { // else the writer still has to tell whether it had written the last byte
+		l.pool.broken(a)
 	}
-	l.ended(a, o)
 }
 
 // read hands on answers until the connection ends.
