Bound descriptors as a whole; finish a command that was begun when its connection ends

Seen by reading: with all clients owed answers, clients and servers together could pass the limit of descriptors; a command half in when the gateway stops would have been dropped though its last byte had been written; discovery that answers without waiting would have been asked without end.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -20,6 +20,7 @@
 	clientBuffer = 4 << 10           // bytes of a connection's first read buffer
 	owedMost     = 256               // answers owed on one connection; further commands wait to be read
 	backlogMost  = 1 << 20           // bytes of answers that a client leaves unread, before it is given up
+	partMost     = 2 * time.Second   // for the rest of a command that was begun when its connection is to end
 	clientWrite  = 2 * time.Second   // a client that takes nothing for so long is given up
 )
 
@@ -91,6 +92,10 @@
 	if len(l.clients) >= clientSockets(l.cfg.Sockets) {
 		l.evictClient()
 	}
+	if len(l.clients) >= l.cfg.Sockets-leastSockets {
+		e.c.conn.Close() // unread: the client sends what it may have written once more, elsewhere
+		return
+	}
 	e.c.used = l.clock.now()
 	l.clients[e.c] = struct{}{}
 	go e.c.receive(&l.cfg, l.clock, l.in.post)
@@ -100,7 +105,7 @@
 }
 
 // evictClient makes room for a new connection by closing the one that has been quiet for longest. If all of
-// them are owed answers nothing is closed, and the reserve of sockets carries the new one.
+// them are owed answers nothing is closed, and the new one takes from the servers' share of descriptors.
 func (l *loop) evictClient() {
 	var quiet *client
 	for c := range l.clients {
@@ -241,6 +246,7 @@
 func (c *client) receive(cfg *Config, clk clock, post func(event)) {
 	buf := make([]byte, 0, clientBuffer)
 	var args [][]byte
+	late := false
 	for {
 		if len(buf) == cap(buf) {
 			buf = slices.Grow(buf, cap(buf))
@@ -282,6 +288,12 @@
 			}
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if len(buf) > 0 && !late { // a command is on its way: its end may already be in the kernel
+				late = c.conn.SetReadDeadline(time.Now().Add(partMost)) == nil
+				if late {
+					continue
+				}
+			}
 			post(commands{c: c, last: true})
 			return
 		}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -112,6 +112,7 @@
 			}
 			url = fmt.Sprintf("%s?after=%d&wait_ms=%d", w.base, version, wait.Milliseconds())
 		}
+		called := time.Now()
 		list, err := w.fetch(ctx, url, within)
 		if err == nil && !known && !list.Full {
 			err = errors.New("changes to a list that this gateway does not hold")
@@ -131,6 +132,8 @@
 		}
 		if list.Full || len(list.Servers) > 0 {
 			w.post(fleetNews{kind, list})
+		} else if time.Since(called) < watchRetry {
+			sleep(ctx, watchRetry) // discovery that does not wait must not be asked without end
 		}
 		version, known = list.Version, true
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -204,7 +204,7 @@
 	x := a.next(t)
 	x.answer(t, served("v"))
 	c.want("$v")
-	r.reg.set(serverList{Version: 2, Servers: entries("draining", a)})
+	r.reg.set(serverList{Version: 2, Full: true, Servers: entries("draining", a)})
 	if x := a.next(t); x.args != nil { // told: the idle connection is closed
 		t.Fatalf("the server got %q", x.args)
 	}
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -29,6 +29,14 @@
 	return l.in.take(nil)[0]
 }
 
+// step applies all that other goroutines have posted, once there is something.
+func step(l *loop) {
+	<-l.in.ready
+	for _, e := range l.in.take(nil) {
+		e.apply(l)
+	}
+}
+
 // large opens a request whose body the kernel does not take at once, on a narrow connection to a server.
 func large(t *testing.T) (*loop, *attempt, net.Conn) {
 	t.Helper()
@@ -52,8 +60,10 @@
 func TestSlowServerTakesALargeRequest(t *testing.T) {
 	l, a, far := large(t)
 	go io.Copy(io.Discard, far)
-	next(t, l).(sent).apply(l)
-	if !a.whole || a.over || a.conn.busy {
+	for a.conn.busy {
+		step(l)
+	}
+	if !a.whole || a.over {
 		t.Error("the attempt is not known to be out")
 	}
 }
@@ -63,7 +73,7 @@
 	l, a, far := large(t)
 	far.Close()
 	for !a.over {
-		next(t, l).apply(l)
+		step(l)
 	}
 	if e := l.todo[len(l.todo)-1].(decide.AttemptEnded); e.Outcome != decide.NoConnection {
 		t.Errorf("the outcome is %v", e.Outcome)
@@ -127,3 +137,51 @@
 		}
 	}
 }
+
+// Clients and servers together stay within the descriptors, and a client over the last of them is sent away.
+func TestDescriptorsAreBounded(t *testing.T) {
+	l := still(t, unreachable(t))
+	for range l.cfg.Sockets - leastSockets {
+		c := &client{slots: []*slot{{}}} // owed an answer, so not to be evicted
+		l.clients[c] = struct{}{}
+	}
+	if room := l.pool.room(); room+len(l.clients)+reserveSockets > l.cfg.Sockets || room < 1 {
+		t.Errorf("room for %d connections to servers beside %d clients", room, len(l.clients))
+	}
+	near, far := pair(t)
+	out, err := newOutlet(near)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := len(l.clients)
+	joined{&client{outlet: out, resume: make(chan struct{}, 1)}}.apply(l)
+	if got := text(t, far); got != "" || len(l.clients) != before {
+		t.Errorf("the client got %q, %d are kept of %d", got, len(l.clients), before)
+	}
+}
+
+// A command of which a part has come when its connection is to end is still read to its end and answered.
+func TestWeanedConnectionFinishesItsCommand(t *testing.T) {
+	l := still(t, nil)
+	near, far := pair(t)
+	out, err := newOutlet(near)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &client{outlet: out, resume: make(chan struct{}, 1)}
+	if _, err := io.WriteString(far, "*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI"); err != nil {
+		t.Fatal(err)
+	}
+	joined{c}.apply(l)
+	step(l)
+	l.wean(c)
+	if _, err := io.WriteString(far, "NG\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for !c.closed {
+		step(l)
+	}
+	if got := text(t, far); got != "+PONG\r\n+PONG\r\n" {
+		t.Errorf("the client got %q", got)
+	}
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -118,16 +118,21 @@
 			return
 		}
 	}
-	if p.conns >= p.most {
+	if p.conns >= p.room() {
 		p.evict()
 	}
-	if s.conns >= perServerMost || p.conns >= p.most {
+	if s.conns >= perServerMost || p.conns >= p.room() {
 		p.l.ended(a, decide.NoConnection)
 		return
 	}
 	p.dial(a)
 }
 
+// room is how many connections there may be, of all servers: clients over their share take from it.
+func (p *pool) room() int {
+	return min(p.most, p.l.cfg.Sockets-reserveSockets-len(p.l.clients))
+}
+
 // evict closes the connection that has stood idle for longest.
 func (p *pool) evict() {
 	var oldest *upConn
