--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -84,16 +84,17 @@
 	client *http.Client
 	base   string
 	wait   time.Duration // of a watch
-	over   time.Duration
-	check  time.Duration
+	over   time.Duration // past its wait a call is given up
+	check  time.Duration // a call that does not wait is given up
 	post   func(event)
 	log    *slog.Logger
 }
 
 func newWatcher(addr netip.AddrPort, post func(event), log *slog.Logger) *watcher {
-	return &watcher{base: "http://" + addr.String() + "/v1/servers", wait: watchWait, over: watchOver, check: checkMost, post: post, log: log, client: &http.Client{
-		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: watchOver}).DialContext,
-			MaxIdleConns: 1, DisableCompression: true}}}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: watchOver}).DialContext,
+		MaxIdleConns: 1, DisableCompression: true}
+	return &watcher{client: &http.Client{Transport: transport}, base: "http://" + addr.String() + "/v1/servers",
+		wait: watchWait, over: watchOver, check: checkMost, post: post, log: log}
 }
 
 // run asks for the whole list and then watches for changes until the context ends. The next call goes out as
