--- a/cmd/sloepick/main.go
+++ b/cmd/sloepick/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
@@ -29,6 +30,8 @@
 }
 
 func run() error {
+	hup := make(chan os.Signal, 1) // from the first moment on: the default is to die of it
+	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := gateway.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -40,9 +43,25 @@
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", cfg.Name)
 	log.Info("starting", "listen", cfg.Listen, "servers", len(cfg.Known.Servers))
-	if err := gateway.Run(ctx, cfg, log); err != nil {
+	moves := make(chan netip.AddrPort)
+	go reload(hup, moves, log)
+	if err := gateway.Run(ctx, cfg, moves, log); err != nil {
 		return err
 	}
 	log.Info("stopped")
 	return nil
 }
+
+// reload reads the configuration again at each signal and passes on where discovery is now. A file that can't
+// be used changes nothing: a slip in it must not stop a gateway that serves.
+func reload(hup <-chan os.Signal, moves chan<- netip.AddrPort, log *slog.Logger) {
+	for range hup {
+		addr, err := gateway.LoadDiscovery(os.Getenv)
+		if err != nil {
+			log.Error("reload failed, the former configuration stays", "err", err)
+			continue
+		}
+		log.Info("reloaded", "discovery", addr)
+		moves <- addr
+	}
+}
--- a/cmd/sloepick/main_test.go
+++ b/cmd/sloepick/main_test.go
@@ -115,3 +115,54 @@
 		t.Errorf("ended with %v, want exit code 0", err)
 	}
 }
+
+// SIGHUP moves a real process to where the file says discovery is, GW_DISCOVERY or not; a file that can't be used
+// is one log line and changes nothing. Without a handler the signal ends the process.
+func TestSighup(t *testing.T) {
+	called := make(chan string, 64)
+	at := func(name string) string {
+		web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			if req.URL.RawQuery != "" {
+				<-req.Context().Done() // no news
+				return
+			}
+			called <- name
+			fmt.Fprint(w, `{"version":1,"full":true,"servers":[]}`)
+		}))
+		t.Cleanup(func() { web.CloseClientConnections(); web.Close() })
+		return strings.TrimPrefix(web.URL, "http://")
+	}
+	first, second := at("first"), at("second")
+	cmd := program(t, fmt.Sprintf(config, "127.0.0.1:0", first), "GW_DISCOVERY="+first)
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	if got := <-called; got != "first" {
+		t.Fatalf("%s was asked", got)
+	}
+	reload := func(text string) {
+		path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-2], "GW_CONFIG=")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reload(`{"name"`)
+	log := bufio.NewScanner(stderr)
+	for log.Scan() && !strings.Contains(log.Text(), "reload failed") {
+	}
+	if log.Err() != nil {
+		t.Fatal(log.Err())
+	}
+	reload(fmt.Sprintf(config, "127.0.0.1:0", second))
+	if got := <-called; got != "second" {
+		t.Errorf("%s was asked", got)
+	}
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -73,6 +73,19 @@
 	return c, nil
 }
 
+// LoadDiscovery reads the file again and returns the address of discovery that stands in it. The environment's
+// GW_DISCOVERY does not count here: it can't change while the process runs, so it would hold a gateway to the
+// address of its start.
+func LoadDiscovery(getenv func(string) string) (netip.AddrPort, error) {
+	c, err := LoadConfig(func(name string) string {
+		if name == "GW_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+	return c.Discovery, err
+}
+
 func (f *fileConfig) config() (Config, error) {
 	c := Config{Name: f.Name, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Known: f.Known}
 	var err error
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -97,6 +97,27 @@
 		wait: watchWait, over: watchOver, check: checkMost, post: post, log: log}
 }
 
+// follow watches discovery at an address, and from each move on at the new one. A move calls off what waits at
+// the old address and begins with the whole list of the new one, only after the old watcher has ended: versions
+// of the two tell nothing of each other, so their changes must never be mixed. Until the new one answers, the
+// list last told stays.
+func follow(ctx context.Context, addr netip.AddrPort, moves <-chan netip.AddrPort, post func(event), log *slog.Logger) {
+	for ctx.Err() == nil {
+		at, cancel := context.WithCancel(ctx)
+		w, ended := newWatcher(addr, post, log), make(chan struct{})
+		go func() {
+			defer close(ended)
+			w.run(at)
+		}()
+		select {
+		case addr = <-moves:
+		case <-ctx.Done():
+		}
+		cancel()
+		<-ended
+	}
+}
+
 // run asks for the whole list and then watches for changes until the context ends. The next call goes out as
 // soon as the last one is answered, so that the watch goes on. A watch can't tell discovery that is down from
 // a fleet that does not change, so after a failure short calls, which are answered at once, find out when
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -103,6 +103,19 @@
 	mu      sync.Mutex
 	list    serverList
 	changed chan struct{}
+	calls   chan string // the queries of the calls, the latest left out where nobody takes them
+}
+
+// newRegistry starts discovery with a list and tells its address.
+func newRegistry(t *testing.T, list serverList) (*registry, netip.AddrPort) {
+	t.Helper()
+	r := &registry{list: list, changed: make(chan struct{}), calls: make(chan string, 64)}
+	web := httptest.NewServer(r)
+	t.Cleanup(func() {
+		web.CloseClientConnections()
+		web.Close()
+	})
+	return r, netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://"))
 }
 
 func (r *registry) set(list serverList) {
@@ -114,6 +127,10 @@
 }
 
 func (r *registry) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	select {
+	case r.calls <- req.URL.RawQuery:
+	default:
+	}
 	after, err := strconv.ParseUint(req.URL.Query().Get("after"), 10, 64)
 	for {
 		r.mu.Lock()
@@ -151,18 +168,18 @@
 
 // rig is a gateway at work.
 type rig struct {
-	addr string
-	reg  *registry
-	stop context.CancelFunc
-	done chan error
+	addr  string
+	reg   *registry
+	moves chan netip.AddrPort
+	stop  context.CancelFunc
+	done  chan error
 }
 
 func newRig(t *testing.T, aim time.Duration, backends ...*backend) *rig {
 	t.Helper()
 	cfg := testConfig(t, aim, entries("up", backends...))
-	r := &rig{reg: &registry{list: cfg.Known, changed: make(chan struct{})}, done: make(chan error, 1)}
-	web := httptest.NewServer(r.reg)
-	cfg.Discovery = netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://"))
+	r := &rig{moves: make(chan netip.AddrPort), done: make(chan error, 1)}
+	r.reg, cfg.Discovery = newRegistry(t, cfg.Known)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -170,12 +187,8 @@
 	r.addr = ln.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
-	go func() { r.done <- serve(ctx, cfg, ln, slog.New(slog.DiscardHandler)) }()
-	t.Cleanup(func() {
-		cancel()
-		web.CloseClientConnections()
-		web.Close()
-	})
+	go func() { r.done <- serve(ctx, cfg, r.moves, ln, slog.New(slog.DiscardHandler)) }()
+	t.Cleanup(cancel)
 	return r
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -27,18 +28,18 @@
 )
 
 // Run serves until the context ends; then it takes what still comes for a moment, answers all that it has
-// taken, and returns.
-func Run(ctx context.Context, cfg Config, log *slog.Logger) error {
+// taken, and returns. Each address that comes over moves is where discovery is from then on.
+func Run(ctx context.Context, cfg Config, moves <-chan netip.AddrPort, log *slog.Logger) error {
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", cfg.Listen.String())
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
 	defer ln.Close()
-	return serve(ctx, cfg, ln, log)
+	return serve(ctx, cfg, moves, ln, log)
 }
 
-func serve(ctx context.Context, cfg Config, ln net.Listener, log *slog.Logger) error {
+func serve(ctx context.Context, cfg Config, moves <-chan netip.AddrPort, ln net.Listener, log *slog.Logger) error {
 	l, err := newLoop(cfg, log)
 	if err != nil {
 		return err
@@ -54,7 +55,7 @@
 		defer l.peers.conn.Close()
 		wg.Go(func() { l.peers.read(l.in.post, log) })
 	}
-	wg.Go(func() { newWatcher(cfg.Discovery, l.in.post, log).run(inner) })
+	wg.Go(func() { follow(inner, cfg.Discovery, moves, l.in.post, log) })
 	wg.Go(func() { acceptClients(ln, l.in.post, log) })
 	wg.Go(func() {
 		select {
