--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -729,3 +729,34 @@
 		}
 	}
 }
+
+// A few requests out at one gateway are chance, not a jam: with one or two at each server of all gateways, cheap
+// work must not be shed. Once they stand for a queue at every server it is.
+func TestFewOpenRequestsPressNobody(t *testing.T) {
+	var servers []Server
+	for i := range 12 {
+		servers = append(servers, Server{ID: fmt.Sprint("s", i), Zone: "a"})
+	}
+	r := newRig(t, func(c *Config) {
+		c.Gateways = 4
+		c.Plans = append(c.Plans, Plan{Name: "cheap", Rate: 1000, Burst: 3000, Price: 0.1})
+	}, servers...)
+	for range 400 { // some ten answers a second, as of a small site
+		r.now += 100 * ms
+		r.serve("get", "wide", "x", 1)
+	}
+	pressedBy := func(open int) bool {
+		for range open {
+			r.ask("get", "wide", "x", 1)
+		}
+		r.g.survey()
+		_, acts := r.ask("get", "cheap", "y", 1)
+		return len(find[Send](acts)) == 0
+	}
+	if pressedBy(6) { // 24 of all gateways at 12 servers
+		t.Error("cheap work is shed with two requests a server")
+	}
+	if !pressedBy(60) {
+		t.Error("cheap work is let in with twenty requests a server")
+	}
+}
