--- a/decide/decide.go
+++ b/decide/decide.go
@@ -70,7 +70,7 @@
 const (
 	ghostFor    = 1500 * time.Millisecond // work that nobody waits for counts as load no longer than this
 	waitPart    = 0.7                     // work that nobody waits for counts as load for so long
-	openLeast   = 8.0                     // attempts out a server, of all gateways, that press nobody: few at one gateway are chance
+	openLeast   = 8.0                     // attempts out a server, of all gateways, that press nobody: chance
 	aimMargin   = 6 * time.Millisecond    // an answer must be back at the client within the aim
 	overdueX    = 4.0                     // times its estimate: an attempt is overdue
 	overdueMin  = 150 * time.Millisecond
