--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -15,15 +16,24 @@
 )
 
 const (
-	valueMost    = 64 << 10          // bytes of a value
-	commandMost  = valueMost + 4<<10 // bytes of a whole command
-	clientBuffer = 4 << 10           // bytes of a connection's first read buffer
-	owedMost     = 256               // answers owed on one connection; further commands wait to be read
-	backlogMost  = 1 << 20           // bytes of answers that a client leaves unread, before it is given up
-	partMost     = 2 * time.Second   // for the rest of a command that was begun when its connection is to end
-	clientWrite  = 2 * time.Second   // a client that takes nothing for so long is given up
+	clientBuffer = 1 << 10         // bytes of a connection's read buffer between commands
+	owedMost     = 64              // answers owed on one connection; further commands wait to be read
+	backlogMost  = 1 << 20         // bytes of answers that a client leaves unread, before it is given up
+	clientWrite  = 2 * time.Second // a client that takes nothing for so long is given up
+	faultWithin  = time.Second     // a connection that can't be read any more ends after this, whatever is open on it
+	acceptAhead  = 16              // connections that may be taken before the loop has counted them
 )
 
+// clientLimits bound how long a connection may hold a descriptor and give nothing for it.
+type clientLimits struct {
+	command time.Duration // for the first command of a connection, and for the end of one that has begun
+	idle    time.Duration // between commands, with nothing open
+}
+
+// usualLimits: clients write a command in one go. Those that keep a connection use it again within seconds, or
+// have left it for good.
+var usualLimits = clientLimits{command: 2 * time.Second, idle: 5 * time.Second}
+
 // slot holds the place of an answer among those of its connection.
 type slot struct {
 	req   *request // open, else nil
@@ -39,8 +49,10 @@
 	used    time.Duration
 	owed    atomic.Int32 // answers that the reader counts on the loop to give
 	resume  chan struct{}
-	ending  bool // to be closed once all is answered
-	read    bool // nothing more is read from it
+	weaned  atomic.Bool // no further command is waited for
+	heard   bool        // it has brought a request
+	ending  bool        // to be closed once all is answered
+	read    bool        // nothing more is read from it
 	closed  bool
 }
 
@@ -50,11 +62,12 @@
 	reply []byte
 }
 
-// commands hands what a client sent to the loop. last: nothing more is read from it.
+// commands hands what a client sent to the loop.
 type commands struct {
-	c    *client
-	got  []received
-	last bool
+	c     *client
+	got   []received
+	last  bool // nothing more is read from it
+	fault bool // it sent what can't be read
 }
 
 func (e commands) apply(l *loop) {
@@ -67,6 +80,7 @@
 		if r.cmd == nil {
 			e.c.reply(s, r.reply)
 		} else {
+			e.c.heard = true
 			l.accept(e.c, s, r.cmd)
 		}
 		l.drainTodo()
@@ -78,6 +92,9 @@
 		e.c.ending, e.c.read = true, true
 		l.endIfDone(e.c)
 	}
+	if e.fault && !e.c.closed {
+		l.at(l.clock.now()+faultWithin, func() { l.closeClient(e.c) })
+	}
 }
 
 // left tells that a client closed its connection.
@@ -89,6 +106,7 @@
 type joined struct{ c *client }
 
 func (e joined) apply(l *loop) {
+	<-l.ahead
 	if len(l.clients) >= clientSockets(l.cfg.Sockets) {
 		l.evictClient()
 	}
@@ -98,18 +116,23 @@
 	}
 	e.c.used = l.clock.now()
 	l.clients[e.c] = struct{}{}
-	go e.c.receive(&l.cfg, l.clock, l.in.post)
+	go e.c.receive(&l.cfg, l.clock, l.limits, l.in.post)
 	if l.closing {
 		l.at(e.c.used+lastCall, func() { l.wean(e.c) })
 	}
 }
 
-// evictClient makes room for a new connection by closing the one that has been quiet for longest. If all of
-// them are owed answers nothing is closed, and the new one takes from the servers' share of descriptors.
+// evictClient makes room for a new connection by closing one that is owed nothing: the one that has been quiet
+// for longest of those that never brought a request, else of all. A flood of silent newcomers so ends itself,
+// and not the connections of usual clients. If all are owed answers nothing is closed, and the new one takes
+// from the servers' share of descriptors.
 func (l *loop) evictClient() {
 	var quiet *client
 	for c := range l.clients {
-		if len(c.slots) == 0 && !c.busy && !c.ending && (quiet == nil || c.used < quiet.used) {
+		if len(c.slots) > 0 || c.busy || c.ending {
+			continue
+		}
+		if quiet == nil || (c.heard == quiet.heard && c.used < quiet.used) || (!c.heard && quiet.heard) {
 			quiet = c
 		}
 	}
@@ -118,10 +141,11 @@
 	}
 }
 
-// wean ends a connection between requests: its reader stops, and once what it had read is answered the
-// connection is closed. Closing at once would lose a request that has been read and waits in the inbox.
+// wean ends a connection between requests: its reader stops once nothing more waits in the kernel, and when what
+// it had read is answered the connection is closed. Closing at once would lose a request that has come.
 func (l *loop) wean(c *client) {
 	c.ending = true
+	c.weaned.Store(true)
 	if err := c.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
 		l.closeClient(c) // already broken
 	}
@@ -220,8 +244,9 @@
 	c.slots, c.backlog = nil, nil
 }
 
-// acceptClients takes connections until the listener is closed.
-func acceptClients(ln net.Listener, post func(event), log *slog.Logger) {
+// acceptClients takes connections until the listener is closed or the context ends. Only so many are taken
+// ahead of the loop, which bounds the descriptors: hundreds that come at once wait in the kernel.
+func acceptClients(ctx context.Context, ln net.Listener, ahead chan<- struct{}, post func(event), log *slog.Logger) {
 	for {
 		conn, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -229,7 +254,7 @@
 		}
 		if err != nil {
 			log.Warn("accepting a connection", "err", err)
-			time.Sleep(10 * time.Millisecond) // out of descriptors: some may be free then
+			sleep(ctx, 10*time.Millisecond) // out of descriptors: some may be free then
 			continue
 		}
 		out, err := newOutlet(conn)
@@ -238,103 +263,109 @@
 			conn.Close()
 			continue
 		}
-		post(joined{&client{outlet: out, resume: make(chan struct{}, 1)}})
+		select {
+		case ahead <- struct{}{}:
+			post(joined{newClient(out)})
+		case <-ctx.Done():
+			conn.Close()
+			return
+		}
 	}
 }
 
-// read hands on commands until the client leaves or breaks the framing.
-func (c *client) receive(cfg *Config, clk clock, post func(event)) {
+func newClient(out outlet) *client { return &client{outlet: out, resume: make(chan struct{}, 1)} }
+
+// receive hands on commands until the client leaves, breaks the framing or lets a time limit pass. One read
+// deadline holds all limits: a connection must bring its first command, and each command its end, within
+// limits.command, and may then stay quiet for limits.idle.
+func (c *client) receive(cfg *Config, clk clock, limits clientLimits, post func(event)) {
 	buf := make([]byte, 0, clientBuffer)
 	var args [][]byte
-	late := false
+	since, heard := time.Now(), false
 	for {
 		if len(buf) == cap(buf) {
 			buf = slices.Grow(buf, cap(buf))
 		}
-		n, err := c.conn.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
+		by := since.Add(limits.command)
+		if heard && len(buf) == 0 {
+			by = since.Add(limits.idle)
+		}
+		err := c.conn.SetReadDeadline(by)
+		if c.weaned.Load() && len(buf) == 0 && c.quiet() { // looked at after the deadline is set: wean does it the other way round
+			post(commands{c: c, last: true})
+			return
+		}
+		n := 0
+		if err == nil {
+			n, err = c.conn.Read(buf[len(buf):cap(buf)])
+		}
 		if n > 0 {
-			e := commands{c: c}
-			rest := buf
-			for len(rest) > 0 && !e.last {
-				var used int
-				var fault error
-				used, args, fault = nextCommand(rest, args)
-				if fault != nil {
-					e.got = append(e.got, received{reply: redcon.AppendError(nil, "ERR "+fault.Error())})
-					e.last = true
-				} else if used == 0 {
-					break
-				} else {
-					e.got = append(e.got, interpret(cfg, args, clk.now()))
-					rest = rest[used:]
-				}
-			}
-			buf = buf[:copy(buf, rest)]
-			if len(buf) == 0 && cap(buf) > clientBuffer {
-				buf = make([]byte, 0, clientBuffer)
-			}
-			owed := c.owed.Add(int32(len(e.got)))
-			if len(e.got) > 0 {
-				post(e)
-			}
+			begins := len(buf) == 0
+			buf = buf[:len(buf)+n]
+			var e commands
+			var used int
+			e, used, args = c.split(cfg, buf, args, clk.now())
+			c.hand(e, post)
 			if e.last {
 				return // the loop closes the connection
 			}
-			for ; owed >= owedMost; owed = c.owed.Load() {
-				if _, open := <-c.resume; !open {
-					break
-				}
+			if buf = buf[:copy(buf, buf[used:])]; len(buf) == 0 && cap(buf) > clientBuffer {
+				buf = make([]byte, 0, clientBuffer)
 			}
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if len(buf) > 0 && !late { // a command is on its way: its end may already be in the kernel
-				late = c.conn.SetReadDeadline(time.Now().Add(partMost)) == nil
-				if late {
-					continue
-				}
+			if heard = heard || used > 0; begins || used > 0 {
+				since = time.Now()
 			}
-			post(commands{c: c, last: true})
-			return
 		}
-		if err != nil {
+		switch {
+		case err == nil:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			post(left{c})
 			return
+		case time.Now().Before(by): // woken to be weaned
+		case len(buf) == 0 && c.owed.Load() > 0: // it waits for answers
+			since = time.Now()
+		default:
+			e := commands{c: c, last: true}
+			if len(buf) > 0 {
+				e.got = []received{{reply: redcon.AppendError(nil, "ERR protocol error: the command did not end in time")}}
+			}
+			c.hand(e, post)
+			return
 		}
 	}
 }
 
-var (
-	errFraming = errors.New("protocol error: expected an array of bulk strings")
-	errTooBig  = errors.New("protocol error: command too large")
-)
-
-// nextCommand reads a command; used is 0 while more of it must come. The arguments share memory with b.
-func nextCommand(b []byte, reuse [][]byte) (used int, args [][]byte, err error) {
-	defer func() {
-		if recover() != nil { // the library overflows on absurd lengths
-			used, args, err = 0, nil, errFraming
+// split reads the whole commands that b begins with. A fault in the framing is answered, and the last.
+func (c *client) split(cfg *Config, b []byte, args [][]byte, now time.Duration) (e commands, used int, _ [][]byte) {
+	e.c = c
+	for used < len(b) {
+		n, got, err := nextCommand(b[used:], args)
+		args = got
+		if err != nil {
+			e.got = append(e.got, received{reply: redcon.AppendError(nil, "ERR "+err.Error())})
+			e.last, e.fault = true, true
+			break
 		}
-	}()
-	if b[0] != '*' {
-		return 0, nil, errFraming
-	}
-	whole, args, _, rest, err := redcon.ReadNextCommand(b, reuse)
-	if err != nil {
-		return 0, nil, errFraming
-	}
-	if !whole {
-		if len(b) >= commandMost {
-			return 0, nil, errTooBig
+		if n == 0 {
+			break
 		}
-		return 0, args, nil
+		e.got = append(e.got, interpret(cfg, args, now))
+		used += n
+	}
+	return e, used, args
+}
+
+// hand posts commands, and waits while too many answers are owed.
+func (c *client) hand(e commands, post func(event)) {
+	owed := c.owed.Add(int32(len(e.got)))
+	if len(e.got) > 0 || e.last {
+		post(e)
 	}
-	for _, a := range args {
-		if len(a) > valueMost {
-			return 0, nil, errTooBig
+	for ; owed >= owedMost && !e.last; owed = c.owed.Load() {
+		if _, open := <-c.resume; !open {
+			break
 		}
 	}
-	return len(b) - len(rest), args, nil
 }
 
 // interpret turns a command into a request, or into its answer.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -17,17 +17,29 @@
 // event is something that the loop is told by another goroutine.
 type event interface{ apply(l *loop) }
 
-// inbox holds events until the loop takes all of them in one wake-up.
+// inbox holds events until the loop takes all of them in one wake-up. Whoever posts to a full one waits, so
+// that peers who send faster than the loop works wait in the kernel and not in memory. The loop never posts.
 type inbox struct {
-	mu    sync.Mutex
-	items []event
-	ready chan struct{}
+	mu     sync.Mutex
+	room   sync.Cond
+	items  []event
+	closed bool
+	ready  chan struct{}
 }
 
-func newInbox() *inbox { return &inbox{ready: make(chan struct{}, 1)} }
+const inboxMost = 1024 // events: far more than a turn of the loop brings, and some MB if all are large
+
+func newInbox() *inbox {
+	q := &inbox{ready: make(chan struct{}, 1)}
+	q.room.L = &q.mu
+	return q
+}
 
 func (q *inbox) post(e event) {
 	q.mu.Lock()
+	for len(q.items) >= inboxMost && !q.closed {
+		q.room.Wait()
+	}
 	q.items = append(q.items, e)
 	first := len(q.items) == 1
 	q.mu.Unlock()
@@ -39,13 +51,21 @@
 	}
 }
 
+// close lets those who wait go on: nothing is taken any more.
+func (q *inbox) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	q.room.Broadcast()
+}
+
 // take returns what has come in; spare is a former batch whose memory is used again.
 func (q *inbox) take(spare []event) []event {
-	clear(spare)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	items := q.items
 	q.items = spare[:0]
+	q.room.Broadcast()
 	return items
 }
 
@@ -65,21 +85,28 @@
 
 // alarm is a call that is due at a time.
 type alarm struct {
-	at time.Duration
-	do func()
+	at    time.Duration
+	do    func()
+	index int // in the heap, or -1
 }
 
-type alarms []alarm
+type alarms []*alarm
 
 func (a alarms) Len() int           { return len(a) }
 func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
-func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *alarms) Push(x any)        { *a = append(*a, x.(alarm)) }
+func (a alarms) Swap(i, j int) {
+	a[i], a[j] = a[j], a[i]
+	a[i].index, a[j].index = i, j
+}
+func (a *alarms) Push(x any) {
+	x.(*alarm).index = len(*a)
+	*a = append(*a, x.(*alarm))
+}
 func (a *alarms) Pop() any {
 	old := *a
 	n := len(old) - 1
 	x := old[n]
-	old[n] = alarm{}
+	old[n], x.index = nil, -1
 	*a = old[:n]
 	return x
 }
@@ -91,6 +118,7 @@
 	slot     *slot
 	cmd      *command
 	attempts []*attempt
+	overdue  *alarm
 	out      int // attempts that have not ended
 	done     bool
 }
@@ -106,10 +134,13 @@
 	alarms   alarms
 	todo     []decide.Event
 	requests map[string]*request
+	ids      map[string]struct{} // of the requests that are owed an answer, as their clients named them
 	nextID   uint64
 	pool     pool
 	clients  map[*client]struct{}
-	held     int // bytes of the commands of open requests
+	limits   clientLimits
+	ahead    chan struct{} // holds one for each connection that was taken and is not counted yet
+	held     int           // bytes of the commands of open requests
 	closing  bool
 	restarts int
 }
@@ -118,12 +149,13 @@
 	deadlineMargin = 10 * time.Millisecond // an answer leaves so long before the client stops waiting: it
 	// covers the way from the client, whose clock began when it sent the request, and the way back
 	overdueAfter = 5 * time.Millisecond // past its end, a request that the module left open is failed
-	heldMost     = 48 << 20             // bytes of open commands; beyond it new requests are refused
+	heldPart     = 4                    // of the memory limit goes to open commands; beyond it new requests are refused
 )
 
 func newLoop(cfg Config, log *slog.Logger) (*loop, error) {
 	l := &loop{cfg: cfg, log: log, clock: newClock(), in: newInbox(), requests: map[string]*request{},
-		clients: map[*client]struct{}{}}
+		ids: map[string]struct{}{}, clients: map[*client]struct{}{}, limits: usualLimits,
+		ahead: make(chan struct{}, acceptAhead)}
 	l.pool = newPool(l, cfg)
 	if err := l.startCore(); err != nil {
 		return nil, err
@@ -156,7 +188,8 @@
 		select {
 		case <-l.in.ready:
 			batch = l.in.take(batch)
-			for _, e := range batch {
+			for i, e := range batch {
+				batch[i] = nil // what it holds can go
 				e.apply(l)
 				l.drainTodo()
 			}
@@ -170,12 +203,24 @@
 func (l *loop) ring() {
 	now := l.clock.now()
 	for len(l.alarms) > 0 && l.alarms[0].at <= now {
-		heap.Pop(&l.alarms).(alarm).do()
+		heap.Pop(&l.alarms).(*alarm).do()
 		l.drainTodo()
 	}
 }
 
-func (l *loop) at(t time.Duration, do func()) { heap.Push(&l.alarms, alarm{t, do}) }
+func (l *loop) at(t time.Duration, do func()) *alarm {
+	a := &alarm{at: t, do: do}
+	heap.Push(&l.alarms, a)
+	return a
+}
+
+// unset takes an alarm back, if it has not rung. An alarm left to ring would hold what it is about until then: a
+// client's request for as long as the client would have waited.
+func (l *loop) unset(a *alarm) {
+	if a != nil && a.index >= 0 {
+		heap.Remove(&l.alarms, a.index)
+	}
+}
 
 // feed queues an event for the module. What an action brings about at once waits until the actions before it
 // are carried out.
@@ -275,18 +320,24 @@
 // accept takes a request that has been read whole.
 func (l *loop) accept(c *client, s *slot, cmd *command) {
 	cap := l.cfg.Settings.OpenCap
-	if l.held+cmd.size() > heldMost || (cap > 0 && len(l.requests) >= cap) {
+	if l.held+cmd.size() > l.cfg.MemoryMB<<20/heldPart || (cap > 0 && len(l.requests) >= cap) {
 		c.reply(s, busy(l.cfg.Settings.Decide.Limits.MaxRetryAfter))
 		l.flush(c)
 		return
 	}
+	if _, open := l.ids[cmd.id()]; open { // two of one id must never meet one another's answer
+		c.reply(s, redcon.AppendError(nil, "ERR a request with this id is open"))
+		l.flush(c)
+		return
+	}
 	l.nextID++
 	r := &request{id: strconv.FormatUint(l.nextID, 36), client: c, slot: s, cmd: cmd}
 	s.req = r
 	l.requests[r.id] = r
+	l.ids[cmd.id()] = struct{}{}
 	l.held += cmd.size()
 	deadline := cmd.came + min(cmd.wait, cmd.limit) - deadlineMargin
-	l.at(deadline+overdueAfter, func() { l.overdue(r) })
+	r.overdue = l.at(deadline+overdueAfter, func() { l.overdue(r) })
 	ev := cmd.req
 	ev.ID, ev.Deadline = r.id, deadline
 	l.feed(ev)
@@ -327,6 +378,8 @@
 	r.done = true
 	r.slot.req = nil
 	l.held -= r.cmd.size()
+	delete(l.ids, r.cmd.id())
+	l.unset(r.overdue)
 	l.drop(r)
 }
 
@@ -334,7 +387,6 @@
 func (l *loop) drop(r *request) {
 	if r.done && r.out == 0 {
 		delete(l.requests, r.id)
-		r.cmd, r.attempts = nil, nil // its alarms hold the request for a while yet
 	}
 }
 
@@ -352,7 +404,7 @@
 		l.ended(a, decide.Moot)
 		return
 	}
-	l.at(a.until, func() { l.pool.expire(a) })
+	a.expiry = l.at(a.until, func() { l.pool.expire(a) })
 	l.pool.start(a)
 }
 
@@ -362,6 +414,7 @@
 		return
 	}
 	a.over = true
+	l.unset(a.expiry)
 	r := a.req
 	r.out--
 	ev := decide.AttemptEnded{ID: r.id, Attempt: a.n, Outcome: o, Took: l.clock.now() - a.at, Done: r.done}
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &client{outlet: out, resume: make(chan struct{}, 1)}
+	c := newClient(out)
 	l.clients[c] = struct{}{}
 	got := interpret(&l.cfg, [][]byte{[]byte("Q.ASK"), []byte(customer), []byte("id"),
 		[]byte("c=look,t=p,d=30000,units=1,spread=2,first=0")}, l.clock.now())
@@ -164,7 +164,7 @@
 	a := r.attempts[0]
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
-	answered{a.conn, decide.OK, []byte("$1\r\nv\r\n"), false}.apply(l)
+	answered{a.conn, answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
 	if len(a.server.idle) != 1 {
 		t.Fatalf("%d connections are idle, want 1", len(a.server.idle))
 	}
@@ -187,8 +187,8 @@
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
 	c := a.conn
-	answered{c, decide.OK, []byte("$1\r\nv\r\n"), false}.apply(l)
-	answered{c, decide.OK, []byte("$1\r\nw\r\n"), false}.apply(l)
+	answered{c, answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
+	answered{c, answer{decide.OK, []byte("$1\r\nw\r\n"), true}}.apply(l)
 	text(t, far)
 	if len(a.server.idle) != 0 {
 		t.Error("the connection is kept")
@@ -215,7 +215,7 @@
 	a := r.attempts[0]
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
-	answered{a.conn, decide.OK, []byte("$1\r\nv\r\n"), true}.apply(l)
+	answered{a.conn, answer{decide.OK, []byte("$1\r\nv\r\n"), false}}.apply(l)
 	text(t, far)
 	if len(a.server.idle) != 0 || l.pool.conns != 0 {
 		t.Error("the connection is kept")
@@ -241,70 +241,10 @@
 	}
 	l.pool.conns = 1
 	s.conns = 1
-	l.pool.park(&upConn{outlet: out, server: s})
+	l.pool.park(newUpConn(out, s, 0))
 	l.pool.evict()
 	text(t, far)
 	if l.pool.conns != 0 {
 		t.Errorf("%d connections are left", l.pool.conns)
 	}
 }
-
-func TestParseAnswer(t *testing.T) {
-	for in, want := range map[string]struct {
-		o     decide.Outcome
-		value string
-	}{
-		"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n":    {decide.OK, "$1\r\nv\r\n"},
-		"*1\r\n$0\r\n\r\n":                   {decide.OK, "$0\r\n\r\n"},
-		"*3\r\n$-1\r\n$-1\r\n$-1\r\n":        {decide.Error, ""},
-		"*0\r\n":                             {decide.Error, ""},
-		"*-1\r\n":                            {decide.Error, ""},
-		"*1\r\n:5\r\n":                       {decide.Error, ""},
-		"$1\r\nv\r\n":                        {decide.Error, ""},
-		"+OK\r\n":                            {decide.Error, ""},
-		"-ERR failed inflight=7,queue=2\r\n": {decide.Error, ""},
-		"-BUSY\r\n":                          {decide.Full, ""},
-		"-BUSY draining\r\n":                 {decide.Full, ""},
-		"-BUSYBODY\r\n":                      {decide.Error, ""},
-	} {
-		used, o, value, ok := parseAnswer([]byte(in))
-		if used != len(in) || o != want.o || string(value) != want.value || !ok {
-			t.Errorf("%q: got %d bytes, %v, %q, %v", in, used, o, value, ok)
-		}
-	}
-	for _, in := range []string{"hello", "$9223372036854775807\r\n"} {
-		if _, _, _, ok := parseAnswer([]byte(in)); ok {
-			t.Errorf("%q passes for an answer", in)
-		}
-	}
-	if used, _, _, ok := parseAnswer([]byte("*3\r\n$4\r\nva")); used != 0 || !ok {
-		t.Error("an answer that is not whole yet is not waited for")
-	}
-}
-
-func FuzzParseAnswer(f *testing.F) {
-	f.Add([]byte("*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"))
-	f.Add([]byte("$-9\r\n"))
-	f.Fuzz(func(t *testing.T, b []byte) {
-		if len(b) == 0 {
-			return
-		}
-		used, o, value, ok := parseAnswer(b)
-		if used > len(b) || (ok && used > 0 && (o == decide.OK) != (len(value) > 0)) {
-			t.Errorf("%q: %d bytes, %v, %q", b, used, o, value)
-		}
-	})
-}
-
-func FuzzNextCommand(f *testing.F) {
-	f.Add([]byte("*1\r\n$4\r\nPING\r\n"))
-	f.Add([]byte("*1\r\n$-9\r\n"))
-	f.Fuzz(func(t *testing.T, b []byte) {
-		if len(b) == 0 {
-			return
-		}
-		if used, _, err := nextCommand(b, nil); used > len(b) || used < 0 || (err != nil && used != 0) {
-			t.Errorf("%q: %d bytes, %v", b, used, err)
-		}
-	})
-}
--- a/internal/gateway/outlet.go
+++ b/internal/gateway/outlet.go
@@ -49,6 +49,16 @@
 	return n, errors.Join(opErr, err)
 }
 
+// quiet reports whether the connection is open and nothing has come on it that was not read.
+func (o *outlet) quiet() bool {
+	var err error
+	opErr := o.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return opErr == nil && errors.Is(err, syscall.EAGAIN)
+}
+
 // finish writes the rest from a goroutine of its own and then posts what done makes of the result.
 func (o *outlet) finish(rest []byte, within time.Duration, post func(event), done func(error) event) {
 	o.busy = true
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -25,8 +25,8 @@
 const (
 	patience = 20 * time.Second // for what must come; no test waits for it to pass
 	profile  = `{"Classes":[
- {"Name":"look","Effect":"safe","AimNs":%[1]d,"GiveUpNs":%[1]d,"Importance":1},
- {"Name":"book","Effect":"keyed","Group":"cell","WindowNs":30000000000,"AimNs":%[1]d,"GiveUpNs":%[1]d,"Importance":3}],
+ {"Name":"look","Effect":"safe","AimNs":%[1]d,"GiveUpNs":30000000000,"Importance":1},
+ {"Name":"book","Effect":"keyed","Group":"cell","WindowNs":30000000000,"AimNs":%[1]d,"GiveUpNs":30000000000,"Importance":3}],
 "Extra":{"PeerIntake":40,"UnitsTop":8},"Instances":2,"Rank":0,"Zone":"a",
 "Limits":{"SendCap":5,"MayCancel":true,"ParallelTries":true,"Peers":true,"RetryAfter":true,"MaxRetryAfterNs":1000000000,
  "ConnectTimeoutNs":2000000000,"ConnIdleNs":60000000000,"OpenCap":1000},
@@ -270,3 +270,9 @@
 func served(value string) string {
 	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
 }
+
+// join gives the loop a new connection, as the listener does.
+func join(l *loop, c *client) {
+	l.ahead <- struct{}{}
+	joined{c}.apply(l)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -56,7 +56,7 @@
 		wg.Go(func() { l.peers.read(l.in.post, log) })
 	}
 	wg.Go(func() { follow(inner, cfg.Discovery, moves, l.in.post, log) })
-	wg.Go(func() { acceptClients(ln, l.in.post, log) })
+	wg.Go(func() { acceptClients(inner, ln, l.ahead, l.in.post, log) })
 	wg.Go(func() {
 		select {
 		case <-ctx.Done():
@@ -65,6 +65,7 @@
 		}
 	})
 	l.run()
+	l.in.close()
 	if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("closing the listener: %w", err)
 	}
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &client{outlet: out, resume: make(chan struct{}, 1)}
+	c := newClient(out)
 	l.clients[c] = struct{}{}
 	answer := redcon.AppendBulk(nil, bytes.Repeat([]byte("x"), valueMost))
 	for n := 0; !c.closed; n++ {
@@ -119,7 +119,7 @@
 func TestOpenRequestsAreBounded(t *testing.T) {
 	for name, fill := range map[string]func(l *loop){
 		"open": func(l *loop) { l.cfg.Settings.OpenCap = 1 },
-		"held": func(l *loop) { l.held = heldMost },
+		"held": func(l *loop) { l.held = l.cfg.MemoryMB << 20 / heldPart },
 	} {
 		l := still(t, unreachable(t))
 		first, _ := open(t, l)
@@ -129,8 +129,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c := &client{outlet: out, resume: make(chan struct{}, 1)}
-		commands{c: c, got: []received{{cmd: first.cmd}}}.apply(l)
+		c := newClient(out)
+		second := *first.cmd
+		second.args = append([][]byte{}, first.cmd.args...)
+		second.args[idArg] = []byte("id-2")
+		commands{c: c, got: []received{{cmd: &second}}}.apply(l)
 		l.closeClient(c)
 		if got := text(t, far); got != "-BUSY 1000\r\n" {
 			t.Errorf("%s: got %q, want a refusal", name, got)
@@ -154,7 +157,7 @@
 		t.Fatal(err)
 	}
 	before := len(l.clients)
-	joined{&client{outlet: out, resume: make(chan struct{}, 1)}}.apply(l)
+	join(l, newClient(out))
 	if got := text(t, far); got != "" || len(l.clients) != before {
 		t.Errorf("the client got %q, %d are kept of %d", got, len(l.clients), before)
 	}
@@ -168,11 +171,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &client{outlet: out, resume: make(chan struct{}, 1)}
+	c := newClient(out)
 	if _, err := io.WriteString(far, "*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI"); err != nil {
 		t.Fatal(err)
 	}
-	joined{c}.apply(l)
+	join(l, c)
 	step(l)
 	l.wean(c)
 	if _, err := io.WriteString(far, "NG\r\n"); err != nil {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -3,20 +3,30 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"slices"
+	"syscall"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"winghatch/decide"
 )
 
 const (
-	perServerMost = 64       // connections to one server, open or being made
-	idlePart      = 3        // an idle connection is retired after this part of the servers' idle limit
-	answerMost    = 80 << 10 // bytes of a whole answer: a value of 64 KiB and what stands round it
-	readFirst     = 1 << 10  // bytes of a connection's first read buffer
+	perServerMost = 64      // connections to one server, open or being made
+	idlePart      = 3       // an idle connection is retired after this part of the servers' idle limit
+	readFirst     = 1 << 10 // bytes of a connection's first read buffer
+	// What a server sends right behind an answer, such as a second copy, is on its way as long as the answer was,
+	// give or take the network's jitter. A connection that has stood for this long with nothing in the kernel is
+	// in step; one that is used sooner might bring the next request another one's answer.
+	settleFor = 10 * time.Millisecond
+	// A server writes an answer in one go. One that has begun and is not whole after this trickles, and the
+	// request has better uses for the time that is left to it.
+	answerWithin = 250 * time.Millisecond
+	// The loop may come to a time-out late, when the core was busy elsewhere: from so much on, what the server
+	// said may lie unread, and the time-out says nothing of the server.
+	lateness = 20 * time.Millisecond
 )
 
 // upstream is one server.
@@ -32,11 +42,16 @@
 type upConn struct {
 	outlet
 	server *upstream
-	att    *attempt // whose answer is owed
+	att    *attempt      // whose answer is owed
+	asked  chan struct{} // tells the reader that an answer is owed
 	used   time.Duration
 	closed bool
 }
 
+func newUpConn(out outlet, s *upstream, now time.Duration) *upConn {
+	return &upConn{outlet: out, server: s, used: now, asked: make(chan struct{}, 1)}
+}
+
 // attempt is one try at one server.
 type attempt struct {
 	req       *request
@@ -44,7 +59,8 @@
 	server    *upstream // nil: unknown to this gateway
 	at, until time.Duration
 	conn      *upConn // nil until it has one
-	whole     bool    // the last byte may have been written
+	expiry    *alarm
+	whole     bool // the last byte may have been written
 	over      bool
 }
 
@@ -68,6 +84,9 @@
 func (p *pool) update(e decide.Server, addr string) {
 	s := p.servers[e.ID]
 	if s == nil {
+		if e.State == decide.Gone {
+			return
+		}
 		s = &upstream{id: e.ID}
 		p.servers[e.ID] = s
 	}
@@ -76,6 +95,15 @@
 	if moved || e.State != decide.Serving {
 		p.closeIdle(s) // they lead to a process that is gone, or are not needed again
 	}
+	p.forget(s)
+}
+
+// forget drops a server that is gone once no connection leads to it. Fleets renew their machines under new ids,
+// so without this the table would grow for as long as the gateway runs.
+func (p *pool) forget(s *upstream) {
+	if s.entry.State == decide.Gone && s.conns == 0 {
+		delete(p.servers, s.id)
+	}
 }
 
 // keepOnly takes that a whole list leaves servers out.
@@ -84,6 +112,7 @@
 		if !listed[id] {
 			s.entry.State = decide.Gone
 			p.closeIdle(s)
+			p.forget(s)
 		}
 	}
 }
@@ -111,9 +140,7 @@
 		p.l.ended(a, decide.NoConnection)
 		return
 	}
-	for len(s.idle) > 0 {
-		c := s.idle[len(s.idle)-1]
-		s.idle = s.idle[:len(s.idle)-1]
+	for c := p.rested(s); c != nil; c = p.rested(s) {
 		if p.write(c, a) {
 			return
 		}
@@ -122,12 +149,24 @@
 		p.evict()
 	}
 	if s.conns >= perServerMost || p.conns >= p.room() {
-		p.l.ended(a, decide.NoConnection)
+		p.l.ended(a, decide.Moot) // no fault of the server's, which heard nothing of it
 		return
 	}
 	p.dial(a)
 }
 
+// rested takes the idle connection that was used last, of those that have stood for settleFor.
+func (p *pool) rested(s *upstream) *upConn {
+	now := p.l.clock.now()
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		if c := s.idle[i]; c.used+settleFor <= now {
+			s.idle = slices.Delete(s.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // room is how many connections there may be, of all servers: clients over their share take from it.
 func (p *pool) room() int {
 	return min(p.most, p.l.cfg.Sockets-reserveSockets-len(p.l.clients))
@@ -183,12 +222,15 @@
 			d.conn.Close()
 			d.err = err
 		}
-		c = &upConn{outlet: out, server: s, used: p.l.clock.now()}
+		c = newUpConn(out, s, p.l.clock.now())
 	}
 	if d.err != nil {
-		s.conns--
-		p.conns--
-		p.l.ended(a, decide.NoConnection)
+		p.dropped(s)
+		o := decide.NoConnection
+		if localFault(d.err) {
+			o = decide.Moot
+		}
+		p.l.ended(a, o)
 		return
 	}
 	go c.read(p.l.in.post)
@@ -207,9 +249,25 @@
 	}
 }
 
+// localFault reports whether a connection was not made for want of something on this machine. The server must
+// not be held to be bad for it.
+func localFault(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // write sends an attempt on a connection. It reports false if the connection took nothing of it, so that
-// another may be tried: nothing has reached the server.
+// another may be tried: nothing has reached the server. A connection on which something waits unasked is out
+// of step, or at its end, and takes nothing.
 func (p *pool) write(c *upConn, a *attempt) bool {
+	if !c.quiet() {
+		p.close(c)
+		return false
+	}
 	b := a.req.cmd.frame(a.until - p.l.clock.now())
 	n, err := c.try(b)
 	if err != nil {
@@ -220,6 +278,7 @@
 		return n > 0
 	}
 	c.att, a.conn, c.used = a, c, p.l.clock.now()
+	c.asked <- struct{}{} // the reader has taken the one before
 	if n == len(b) {
 		a.whole = true
 		return true
@@ -294,18 +353,29 @@
 	}
 	c.closed = true
 	c.conn.Close()
-	c.server.conns--
-	p.conns--
+	close(c.asked)
+	p.dropped(c.server)
 	if i := slices.Index(c.server.idle, c); i >= 0 {
 		c.server.idle = slices.Delete(c.server.idle, i, i+1)
 	}
 }
 
-// expire ends an attempt whose time is up. One that has no connection yet never ran.
+// dropped counts a connection that is no more, or was never made.
+func (p *pool) dropped(s *upstream) {
+	s.conns--
+	p.conns--
+	p.forget(s)
+}
+
+// expire ends an attempt whose time is up. One that has no connection yet never ran. If the loop itself comes
+// late, the server is not to blame: the attempt is called off.
 func (p *pool) expire(a *attempt) {
 	o := decide.TimedOut
-	if a.conn == nil {
+	switch {
+	case a.conn == nil:
 		o = decide.NoConnection
+	case p.l.clock.now()-a.until > lateness:
+		o = decide.Cancelled
 	}
 	p.giveUp(a, o)
 }
@@ -325,10 +395,8 @@
 
 // answered hands a server's whole answer to the loop.
 type answered struct {
-	c       *upConn
-	outcome decide.Outcome
-	value   []byte // as it goes to the client
-	more    bool   // bytes stood behind it, so the connection is not in step
+	c *upConn
+	answer
 }
 
 func (e answered) apply(l *loop) {
@@ -336,14 +404,12 @@
 	if c.closed {
 		return
 	}
-	if a == nil { // nobody asked: never let it pass for the next request's answer
-		l.pool.close(c)
+	if a == nil || !a.whole { // nobody asked, or not all of it: what a server says to that is no answer
+		broke{c: c}.apply(l)
 		return
 	}
 	c.att = nil
-	if e.more || !a.whole {
-		l.pool.close(c)
-	} else if c.server.entry.State != decide.Serving {
+	if !e.inStep || c.server.entry.State != decide.Serving {
 		l.pool.close(c)
 	} else {
 		l.pool.park(c)
@@ -355,8 +421,11 @@
 	l.ended(a, e.outcome)
 }
 
-// broke tells that a connection ended or carried what is no answer.
-type broke struct{ c *upConn }
+// broke tells that a connection ended, or carried what is no answer.
+type broke struct {
+	c      *upConn
+	spoilt bool
+}
 
 func (e broke) apply(l *loop) {
 	c, a := e.c, e.c.att
@@ -364,70 +433,62 @@
 		return
 	}
 	l.pool.close(c)
-	if a != nil && !c.busy { // else the writer still has to tell whether it had written the last byte
+	switch {
+	case a == nil || c.busy: // the writer still has to tell whether it had written the last byte
+	case e.spoilt && a.whole:
+		l.ended(a, decide.Error) // the server answered, so the request may have run
+	default:
 		l.pool.broken(a)
 	}
 }
 
-// read hands on answers until the connection ends.
+// read hands on one answer for each request that is written, until the connection ends or carries what is no
+// answer. In between it reads nothing: what comes unasked stays in the kernel, where write finds it. If it were
+// read here, a copy in the reader's hands could meet the next request and pass for its answer.
 func (c *upConn) read(post func(event)) {
 	buf := make([]byte, 0, readFirst)
-	for {
-		if len(buf) == cap(buf) {
-			if cap(buf) >= answerMost {
-				break
-			}
-			buf = slices.Grow(buf, cap(buf))
+	for range c.asked {
+		a, err := c.readAnswer(&buf)
+		if err != nil {
+			post(broke{c, errors.Is(err, errSpoilt)})
+			return
 		}
-		n, err := c.conn.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if n > 0 {
-			used, outcome, value, ok := parseAnswer(buf)
-			if !ok {
-				break
-			}
-			if used > 0 {
-				post(answered{c, outcome, value, used < len(buf)})
-				if used < len(buf) {
-					break
-				}
-				buf = buf[:0]
-				if cap(buf) > readFirst {
-					buf = make([]byte, 0, readFirst)
-				}
-			}
+		post(answered{c, a})
+		if !a.inStep {
+			return // the loop closes it
 		}
-		if err != nil {
-			break
+		if buf = buf[:0]; cap(buf) > readFirst {
+			buf = make([]byte, 0, readFirst)
 		}
 	}
-	post(broke{c})
 }
 
-// parseAnswer reads a server's answer. used is 0 while more must come; ok is false if it can't become one.
-func parseAnswer(b []byte) (used int, o decide.Outcome, value []byte, ok bool) {
-	defer func() {
-		if recover() != nil { // the library overflows on absurd lengths
-			used, o, value, ok = 0, 0, nil, false
+func (c *upConn) readAnswer(buf *[]byte) (answer, error) {
+	b := *buf
+	for begun := false; ; {
+		if len(b) == cap(b) {
+			b = slices.Grow(b, cap(b))
 		}
-	}()
-	used, resp := redcon.ReadNextRESP(b)
-	switch {
-	case used == 0:
-		return 0, 0, nil, bytes.IndexByte([]byte("*$+-:"), b[0]) >= 0
-	case resp.Type == redcon.Array && resp.Count > 0:
-		n, first := redcon.ReadNextRESP(resp.Data)
-		if n == 0 || first.Type != redcon.Bulk || first.Data == nil {
-			return used, decide.Error, nil, true
+		n, err := c.conn.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		*buf = b
+		a, used, fault := parseAnswer(b)
+		switch {
+		case fault != nil, errors.Is(err, os.ErrDeadlineExceeded):
+			return a, errSpoilt
+		case used > 0:
+			a.value, a.inStep = bytes.Clone(a.value), a.inStep && used == len(b) && err == nil
+			if begun {
+				err = c.conn.SetReadDeadline(time.Time{})
+			}
+			return a, err
+		case err != nil:
+			return a, err
+		case !begun:
+			begun = true
+			if err := c.conn.SetReadDeadline(time.Now().Add(answerWithin)); err != nil {
+				return a, err
+			}
 		}
-		return used, decide.OK, bytes.Clone(first.Raw), true
-	case resp.Type == redcon.Error && isBusy(resp.Data):
-		return used, decide.Full, nil, true
 	}
-	return used, decide.Error, nil, true
-}
-
-func isBusy(line []byte) bool {
-	word, _, _ := bytes.Cut(line, []byte(" "))
-	return string(word) == "BUSY"
 }
