Forget what is as new; tell refused clients when their bucket has room

A peer may so count anew, with lower totals, which the other side would have taken for use given back: totals older than 5 s are no longer counted on from, the level told with them is taken. What is gone may be told without its cell: the module now keeps what was told first, in place of the gateway.

Advice was 200 ms whoever asked. Where the quota refuses it is now the time until the bucket (or the ceiling's slice, or the home's word) has room.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,15 +13,18 @@
 
 // Quota.
 const (
-	partMemory  = 2 * time.Second // memory of asked units: long against gaps, short against shifts of traffic
-	partPrior   = 0.05            // seconds of the even slice mixed in: steadies rare askers
-	startLevel  = 0.5             // of the mark: level after a start, as the past is unknown
-	peerStale   = 1 * time.Second // a peer not heard for this long no longer settles buckets
-	meterStale  = 3 * time.Second // the meter is late; older totals say nothing
-	meterGrow   = 1.02            // of the factor on the part, a report ...
-	meterShrink = 0.95            // ... while the metered total exceeds the rate
-	forgetAfter = time.Minute     // idle customers are dropped; every bucket and store is as new by then
-	slackPart   = 0.9             // of the ceiling's slack is used: the rest is for rounding
+	partMemory  = 2 * time.Second  // memory of asked units: long against gaps, short against shifts
+	partPrior   = 0.05             // seconds of the even slice mixed in: steadies rare askers
+	startLevel  = 0.5              // of the mark: level after a start, as the past is unknown
+	peerStale   = 1 * time.Second  // a peer not heard for this long no longer settles buckets
+	meterStale  = 3 * time.Second  // the meter is late; older totals say nothing
+	meterGrow   = 1.02             // of the factor on the part, a report ...
+	meterShrink = 0.95             // ... while the metered total exceeds the rate
+	forgetAfter = 10 * time.Second // a customer that is as new is forgotten so long after its last use ...
+	toldFor     = 5 * time.Second  // ... well after peers have ceased to count on from the totals told of it
+	sweepLeast  = 4                // customers are looked at, at each beat ...
+	sweepBeats  = 32               // ... and that part of all
+	slackPart   = 0.9              // of the ceiling's slack is used: the rest is for rounding
 )
 
 // Sharing.
@@ -68,22 +71,23 @@
 
 // Attempts.
 const (
-	ghostFor    = 1500 * time.Millisecond // work that nobody waits for counts as load no longer than this
-	waitPart    = 0.7                     // work that nobody waits for counts as load for so long
-	openLeast   = 8.0                     // attempts out a server, of all gateways, that press nobody: chance
-	aimMargin   = 6 * time.Millisecond    // an answer must be back at the client within the aim
-	overdueX    = 4.0                     // times its estimate: an attempt is overdue
-	overdueMin  = 150 * time.Millisecond
-	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
-	budgetMost  = 10.0 // ... up to this many
-	openFree    = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
-	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
-	flowShrink  = 0.85 // of the flow let in on thin evidence, for each answer missed here or as told ...
-	flowGrow    = 1.03 // ... and for each that came: it holds where one of six is missed
-	flowLeast   = 0.08 // the flow that finds out that a jam is over
-	flowMost    = 2.2  // over 1 nothing is shed: room for chance
-	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
-	retryAdvice = 200 * time.Millisecond
+	ghostFor   = 1500 * time.Millisecond // work that nobody waits for counts as load no longer than this
+	waitPart   = 0.7                     // work that nobody waits for counts as load for so long
+	openLeast  = 8.0                     // attempts out a server, of all gateways, that press nobody: chance
+	aimMargin  = 6 * time.Millisecond    // an answer must be back at the client within the aim
+	overdueX   = 4.0                     // times its estimate: an attempt is overdue
+	overdueMin = 150 * time.Millisecond
+	budgetPart = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
+	budgetMost = 10.0 // ... up to this many
+	openFree   = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
+	shedFrom   = 0.25 // of the cap on open work, where the least worth work is shed
+	flowShrink = 0.85 // of the flow let in on thin evidence, for each answer missed here or as told ...
+	flowGrow   = 1.03 // ... and for each that came: it holds where one of six is missed
+	flowLeast  = 0.08 // the flow that finds out that a jam is over
+	flowMost   = 2.2  // over 1 nothing is shed: room for chance
+	shedTo     = 0.8  // of the time left: an estimate over it is hopeless
+
+	retryAdvice = 200 * time.Millisecond // where no bucket tells when to come back
 )
 
 // Handle takes one event at the time now and returns what is to be done, in order.
@@ -138,11 +142,7 @@
 	c.at = g.now
 	c.level = max(0, c.level-c.part*c.plan.Rate*dt)
 	c.whole = max(0, c.whole-c.plan.Rate*dt)
-	even := 1 / float64(c.spread)
-	slice := even
-	if !g.mesh {
-		slice = 1.0 / homes
-	}
+	even, slice := 1/float64(c.spread), g.slice(c)
 	c.store = min(c.store+c.plan.CeilingRate*slice*dt, c.plan.CeilingBurst*slice)
 	own := c.asked.get(g.now) + partPrior*c.plan.Rate*even
 	if !g.mesh && g.now-c.toldAt < partMemory {
@@ -192,6 +192,22 @@
 		(c.plan.MaxOpen == 0 || float64(c.open) < math.Ceil(c.part*float64(c.plan.MaxOpen)))
 }
 
+// roomIn is how long the quota needs to have room for so many units: what the client is told to wait.
+func (g *Gateway) roomIn(c *customer, units float64) time.Duration {
+	wait := (c.shut - g.now).Seconds()
+	if p := c.plan; p.Rate > 0 {
+		wait = max(wait, (c.level+c.part*(units-p.Burst))/(c.part*p.Rate))
+	}
+	if p := c.plan; p.CeilingRate > 0 {
+		slack := slackPart * p.CeilingSlack / float64(c.spread)
+		wait = max(wait, (units-slack-c.store)/(p.CeilingRate*g.slice(c)))
+	}
+	if wait <= 0 { // it is the cap on attempts out, which says nothing of time
+		return retryAdvice
+	}
+	return time.Duration(min(wait, waitMost.Seconds()) * float64(time.Second))
+}
+
 // meter takes what an answer tells of the customer's use; it decides the part where peers are silent.
 func (g *Gateway) meter(c *customer, percent int) {
 	c.metered, c.meteredAt = float64(percent-1)/100*c.plan.Rate, g.now
@@ -256,10 +272,11 @@
 	n := min(len(p.queue), (maxMessage-msgHead)/msgEntry)
 	for _, c := range p.queue[:n] {
 		c.queued[i] = false
+		c.last = g.now
 		g.leak(c)
 		c.encode(&b)
 	}
-	p.queue = append([]*customer(nil), p.queue[n:]...)
+	p.queue = slices.Delete(p.queue, 0, n)
 	return b.String()
 }
 
@@ -304,15 +321,14 @@
 	c := g.customer(key, planNo)
 	g.leak(c)
 	t := &c.told[from]
-	if !t.have {
-		t.have = true
-		if p.younger {
-			t.used, t.asked = 0, 0
-		} else {
-			t.used, t.asked = used, asked
-			c.whole = max(c.whole, level*c.plan.Burst)
-		}
+	switch {
+	case !t.have && p.younger:
+		t.used, t.asked = 0, 0
+	case !t.have || g.now-t.at > toldFor: // the peer may have forgotten the customer since, and count anew
+		t.used, t.asked = used, asked
+		c.whole = max(c.whole, level*c.plan.Burst)
 	}
+	t.have, t.at = true, g.now
 	c.whole = max(0, c.whole+diff(t.used, used))
 	t.rate.add(g.now, max(0, diff(t.asked, asked)))
 	t.used, t.asked = used, asked
@@ -500,6 +516,12 @@
 }
 
 func (g *Gateway) listed(e Server, stale bool) {
+	if e.State == Gone { // its cell and zone may be left out, and stay as told first: repeats go by them
+		if s := g.servers[e.ID]; s != nil {
+			s.State = Gone
+		}
+		return
+	}
 	s := g.server(e.ID)
 	if e.Started > s.Started && e.Started+g.cfg.Safety.ColdFor > g.now {
 		s.coldUntil, s.budget, s.budgetAt = e.Started+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
@@ -585,6 +607,7 @@
 }
 
 func (g *Gateway) survey() {
+	g.forgetServers()
 	all := survey{}
 	for _, o := range g.order {
 		if o.State != Serving {
@@ -705,7 +728,11 @@
 	}
 	if s == nil || cost > shedTo*(r.until-g.now).Seconds() || (g.mesh && g.shed(r)) {
 		r.more = -r.units
-		g.refuse(r.ID)
+		wait := retryAdvice
+		if !room {
+			wait = g.roomIn(r.cust, r.units)
+		}
+		g.refuse(r.ID, wait)
 		g.finish(r)
 		return
 	}
@@ -733,10 +760,10 @@
 	return g.pressed() > f || g.rng.Float64() > math.Pow(g.flow, g.thin()*g.thin()*(1+1/f)/2)
 }
 
-func (g *Gateway) refuse(id string) {
+func (g *Gateway) refuse(id string, wait time.Duration) {
 	a := Refuse{ID: id}
 	if g.cfg.Limits.RetryAfter {
-		a.RetryAfter = min(g.cfg.Limits.MaxRetryAfter, retryAdvice)
+		a.RetryAfter = min(g.cfg.Limits.MaxRetryAfter, wait)
 	}
 	g.do(a)
 }
@@ -884,7 +911,7 @@
 	promise := r.class.Effect == Safe || !slices.ContainsFunc(r.attempts, mayRun) ||
 		(r.class.Effect == Keyed && r.class.Group == GroupAll)
 	if promise && r.out == 0 {
-		g.refuse(r.ID)
+		g.refuse(r.ID, retryAdvice)
 	} else {
 		g.do(Fail{r.ID})
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -760,3 +760,107 @@
 		t.Error("cheap work is let in with twenty requests a server")
 	}
 }
+
+// A server that is gone is forgotten once nothing of it is out, and not while it would still be cold: coming back
+// under its id must not renew its budget. Without this the tables grow with every release of the fleet.
+func TestGoneServersAreForgotten(t *testing.T) {
+	r := newRig(t, nil)
+	id, s := r.send("get", "wide")
+	r.do(FleetUpdate{Kind: FleetFull, Servers: []Server{{ID: "new", Zone: "a", Started: r.now}}})
+	if len(r.g.servers) != 2 || len(r.g.order) != 2 || len(r.g.shorts) != 2 {
+		t.Errorf("%d, %d and %d are known, want the new one and the one with an attempt out",
+			len(r.g.servers), len(r.g.order), len(r.g.shorts))
+	}
+	r.end(id, 0, s.Server, OK)
+	r.do(FleetUpdate{Kind: FleetDelta, Servers: []Server{{ID: "new", State: Gone}, {ID: "never", State: Gone}}})
+	if cold := r.g.servers["new"]; len(r.g.servers) != 1 || cold == nil || cold.State != Gone {
+		t.Errorf("known are %v, want the cold one", r.g.servers)
+	}
+	r.now += r.g.cfg.Safety.ColdFor
+	r.do(TimerFired{Token: beatToken})
+	if len(r.g.servers)+len(r.g.order)+len(r.g.shorts) != 0 {
+		t.Errorf("still known are %v", r.g.servers)
+	}
+}
+
+// What is gone may be told without its cell. Where a keyed request may be repeated hangs on it, so it stays.
+func TestGoneServerKeepsItsCell(t *testing.T) {
+	r := newRig(t, nil, Server{ID: "s", Zone: "a", Cell: 7})
+	r.send("put", "wide")
+	r.do(FleetUpdate{Kind: FleetDelta, Servers: []Server{{ID: "s", State: Gone}}})
+	if s := r.g.servers["s"]; s.State != Gone || s.Cell != 7 || s.Zone != "a" {
+		t.Errorf("known is %+v", s.Server)
+	}
+}
+
+// Customers that come once are forgotten as fast as new ones come, and only when a new one would stand as they do.
+func TestCustomersWhoComeOnceAreForgotten(t *testing.T) {
+	r := newRig(t, nil)
+	most := 0
+	for i := range 20000 { // 100 new ones a second
+		r.now += 10 * ms
+		r.serve("get", "wide", fmt.Sprint(i), 1)
+		if i%10 == 0 {
+			for _, p := range []int{1, 2} {
+				r.g.peers[p].queue = nil // as if told
+			}
+			for _, c := range r.g.queue {
+				clear(c.queued)
+			}
+			r.do(TimerFired{Token: beatToken})
+		}
+		most = max(most, len(r.g.customers))
+	}
+	if most > 2000 || len(r.g.queue) != len(r.g.customers) {
+		t.Errorf("%d customers were kept, want those of some seconds", most)
+	}
+	r.serve("get", "small", "deep", 4)
+	c := r.g.customers[shortKey("deep")]
+	c.level, c.whole = 1000, 1000 // far from empty after the time
+	r.now += 2 * forgetAfter
+	clear(c.queued)
+	if r.g.asNew(c) {
+		t.Error("a customer in debt would be forgotten")
+	}
+}
+
+// A peer that has forgotten a customer counts anew. Its lower totals must not be taken for use given back.
+func TestPeerThatForgotCountsAnew(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(PeerMessage{From: 1, Text: message(1, 1, entry("x", 0, 0, 0, 0))})
+	r.do(PeerMessage{From: 1, Text: message(1, 2, entry("x", 0, 50, 50, 1))})
+	r.now += forgetAfter
+	r.serve("get", "wide", "x", 900)
+	before := r.g.customers[shortKey("x")].whole
+	r.do(PeerMessage{From: 1, Text: message(1, 3, entry("x", 0, 2, 2, 0))})
+	if now := r.g.customers[shortKey("x")].whole; now < before {
+		t.Errorf("the customer's level fell from %v to %v", before, now)
+	}
+}
+
+// A client that the quota refuses is told when it has room: sooner it would be refused again, later it waits in vain.
+func TestAdviceFitsTheBucket(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Limits.MaxRetryAfter = time.Minute })
+	r.now += time.Minute
+	var acts []Action
+	for len(find[Refuse](acts)) == 0 {
+		id, a := r.ask("get", "small", "x", 1)
+		if acts = a; len(find[Send](acts)) > 0 {
+			r.end(id, 0, find[Send](acts)[0].Server, OK)
+		}
+	}
+	wait := find[Refuse](acts)[0].RetryAfter
+	c := r.g.customers[shortKey("x")]
+	asked := c.asked
+	for _, at := range []time.Duration{wait * 9 / 10, wait * 11 / 10} {
+		then := *c
+		r.g.now = r.now + at
+		r.g.leak(&then)
+		if then.room(1) != (at > wait) {
+			t.Errorf("advice is %v; room after %v: %v", wait, at, then.room(1))
+		}
+	}
+	if c.asked != asked || wait <= 0 {
+		t.Errorf("advice is %v", wait)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -64,6 +64,7 @@
 // told is what one peer last said of a customer.
 type told struct {
 	have        bool
+	at          time.Duration
 	used, asked int
 	rate        rate
 }
@@ -73,7 +74,7 @@
 	plan          *Plan
 	planNo        int
 	first, spread int
-	at, last      time.Duration // of the last leak, of the last use
+	at, last      time.Duration // of the last leak, of the last use or word of it
 	level, part   float64       // of this gateway's bucket; its part of rate and mark
 	whole         float64       // of the bucket that all gateways together fill, as far as told
 	settled       time.Duration // the level follows what peers told up to then
@@ -250,12 +251,21 @@
 	return c
 }
 
-// sweep drops customers that have been idle for long, a few at each beat.
+// slice is the part of a customer's ceiling that this gateway keeps.
+func (g *Gateway) slice(c *customer) float64 {
+	if !g.mesh {
+		return 1.0 / homes
+	}
+	return 1 / float64(c.spread)
+}
+
+// sweep drops customers of whom nothing is left to know, a part of all at each beat. Most customers may come
+// once only, so it has to keep up with new ones however many there are.
 func (g *Gateway) sweep() {
-	for n := 0; n < 4 && len(g.queue) > 0; n++ {
+	for n := min(len(g.queue), sweepLeast+len(g.queue)/sweepBeats); n > 0; n-- {
 		c := g.queue[0]
 		g.queue = g.queue[1:]
-		if c.open == 0 && g.now-c.last > forgetAfter && !slices.Contains(c.queued, true) {
+		if g.asNew(c) {
 			delete(g.customers, c.key)
 			continue
 		}
@@ -263,6 +273,32 @@
 	}
 }
 
+// asNew reports whether a customer stands as one would that comes for the first time now: nothing out or to be
+// told, buckets empty, store full.
+func (g *Gateway) asNew(c *customer) bool {
+	if c.open > 0 || g.now-c.last < forgetAfter || c.shut > g.now || slices.Contains(c.queued, true) {
+		return false
+	}
+	g.leak(c)
+	return (c.plan.Rate == 0 || c.level == 0 && c.whole == 0) &&
+		(c.plan.CeilingRate == 0 || c.store >= c.plan.CeilingBurst*g.slice(c))
+}
+
+// forgetServers drops servers that are gone and of which nothing is out. A cold one stays until it would be warm,
+// so that its budget holds if it comes back; where a request may be repeated stands with its attempts.
+func (g *Gateway) forgetServers() {
+	g.order = slices.DeleteFunc(g.order, func(s *server) bool {
+		if s.State != Gone || s.out > 0 || s.coldUntil > g.now {
+			return false
+		}
+		delete(g.servers, s.ID)
+		if g.shorts[s.short] == s {
+			delete(g.shorts, s.short)
+		}
+		return true
+	})
+}
+
 // newest are the last few sights of own requests.
 type newest struct {
 	v [newsOf]sight
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -437,12 +437,6 @@
 	listed := map[string]bool{}
 	for i := range list.Servers {
 		s := list.Servers[i].server()
-		if old := l.pool.servers[s.ID]; old != nil && s.State == decide.Gone {
-			// What is gone may come without its cell and zone. The module goes by them for where a keyed
-			// request may be repeated, so those that were told first stay.
-			s = old.entry
-			s.State = decide.Gone
-		}
 		listed[s.ID] = true
 		u.Servers = append(u.Servers, s)
 		l.pool.update(s, list.Servers[i].Addr)
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -195,19 +195,6 @@
 	}
 }
 
-// A server that is gone keeps its cell, even if discovery leaves it out: where a keyed request may be repeated
-// hangs on it.
-func TestGoneServerKeepsItsCell(t *testing.T) {
-	list := entries("up", newBackend(t))
-	list[0].Cell = 7
-	l := still(t, list)
-	l.fleet(decide.FleetDelta, serverList{Version: 2, Servers: []serverEntry{{ID: "s-0", State: "removed"}}})
-	u := l.todo[len(l.todo)-1].(decide.FleetUpdate)
-	if s := u.Servers[0]; s.State != decide.Gone || s.Cell != 7 || s.Zone != "a" {
-		t.Errorf("the module was told %+v", s)
-	}
-}
-
 // An answer with bytes behind it is served, but its connection is out of step and not used again.
 func TestAnswerWithMoreClosesTheConnection(t *testing.T) {
 	l := still(t, unreachable(t))
