Read clients' commands in small steps, in a file of their own

receive had grown to one function for limits, framing and weaning. reader.go holds it as a small type now, one read deadline for all limits; behaviour and tests as before.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -1,18 +1,13 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"log/slog"
 	"net"
-	"os"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
-
-	"github.com/tidwall/redcon"
 )
 
 const (
@@ -24,16 +19,6 @@
 	acceptAhead  = 16              // connections that may be taken before the loop has counted them
 )
 
-// clientLimits bound how long a connection may hold a descriptor and give nothing for it.
-type clientLimits struct {
-	command time.Duration // for the first command of a connection, and for the end of one that has begun
-	idle    time.Duration // between commands, with nothing open
-}
-
-// usualLimits: clients write a command in one go. Those that keep a connection use it again within seconds, or
-// have left it for good.
-var usualLimits = clientLimits{command: 2 * time.Second, idle: 5 * time.Second}
-
 // slot holds the place of an answer among those of its connection.
 type slot struct {
 	req   *request // open, else nil
@@ -116,7 +101,8 @@
 	}
 	e.c.used = l.clock.now()
 	l.clients[e.c] = struct{}{}
-	go e.c.receive(&l.cfg, l.clock, l.limits, l.in.post)
+	r := reader{c: e.c, cfg: &l.cfg, clock: l.clock, limits: l.limits, post: l.in.post}
+	go r.run()
 	if l.closing {
 		l.at(e.c.used+lastCall, func() { l.wean(e.c) })
 	}
@@ -274,120 +260,3 @@
 }
 
 func newClient(out outlet) *client { return &client{outlet: out, resume: make(chan struct{}, 1)} }
-
-// receive hands on commands until the client leaves, breaks the framing or lets a time limit pass. One read
-// deadline holds all limits: a connection must bring its first command, and each command its end, within
-// limits.command, and may then stay quiet for limits.idle.
-func (c *client) receive(cfg *Config, clk clock, limits clientLimits, post func(event)) {
-	buf := make([]byte, 0, clientBuffer)
-	var args [][]byte
-	since, heard := time.Now(), false
-	for {
-		if len(buf) == cap(buf) {
-			buf = slices.Grow(buf, cap(buf))
-		}
-		by := since.Add(limits.command)
-		if heard && len(buf) == 0 {
-			by = since.Add(limits.idle)
-		}
-		err := c.conn.SetReadDeadline(by)
-		if c.weaned.Load() && len(buf) == 0 && c.quiet() { // looked at after the deadline is set: wean does it the other way round
-			post(commands{c: c, last: true})
-			return
-		}
-		n := 0
-		if err == nil {
-			n, err = c.conn.Read(buf[len(buf):cap(buf)])
-		}
-		if n > 0 {
-			begins := len(buf) == 0
-			buf = buf[:len(buf)+n]
-			var e commands
-			var used int
-			e, used, args = c.split(cfg, buf, args, clk.now())
-			c.hand(e, post)
-			if e.last {
-				return // the loop closes the connection
-			}
-			if buf = buf[:copy(buf, buf[used:])]; len(buf) == 0 && cap(buf) > clientBuffer {
-				buf = make([]byte, 0, clientBuffer)
-			}
-			if heard = heard || used > 0; begins || used > 0 {
-				since = time.Now()
-			}
-		}
-		switch {
-		case err == nil:
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			post(left{c})
-			return
-		case time.Now().Before(by): // woken to be weaned
-		case len(buf) == 0 && c.owed.Load() > 0: // it waits for answers
-			since = time.Now()
-		default:
-			e := commands{c: c, last: true}
-			if len(buf) > 0 {
-				e.got = []received{{reply: redcon.AppendError(nil, "ERR protocol error: the command did not end in time")}}
-			}
-			c.hand(e, post)
-			return
-		}
-	}
-}
-
-// split reads the whole commands that b begins with. A fault in the framing is answered, and the last.
-func (c *client) split(cfg *Config, b []byte, args [][]byte, now time.Duration) (e commands, used int, _ [][]byte) {
-	e.c = c
-	for used < len(b) {
-		n, got, err := nextCommand(b[used:], args)
-		args = got
-		if err != nil {
-			e.got = append(e.got, received{reply: redcon.AppendError(nil, "ERR "+err.Error())})
-			e.last, e.fault = true, true
-			break
-		}
-		if n == 0 {
-			break
-		}
-		e.got = append(e.got, interpret(cfg, args, now))
-		used += n
-	}
-	return e, used, args
-}
-
-// hand posts commands, and waits while too many answers are owed.
-func (c *client) hand(e commands, post func(event)) {
-	owed := c.owed.Add(int32(len(e.got)))
-	if len(e.got) > 0 || e.last {
-		post(e)
-	}
-	for ; owed >= owedMost && !e.last; owed = c.owed.Load() {
-		if _, open := <-c.resume; !open {
-			break
-		}
-	}
-}
-
-// interpret turns a command into a request, or into its answer.
-func interpret(cfg *Config, args [][]byte, now time.Duration) received {
-	if len(args) == 0 {
-		return received{reply: redcon.AppendError(nil, "ERR empty command")}
-	}
-	name := strings.ToUpper(string(args[0][:min(len(args[0]), 16)]))
-	switch name {
-	case "Q.ASK", "Q.DO":
-		cmd, err := parseRequest(cfg, name, args, now)
-		if err != nil {
-			return received{reply: redcon.AppendError(nil, "ERR "+err.Error())}
-		}
-		return received{cmd: cmd}
-	case "PING":
-		if len(args) == 2 {
-			return received{reply: redcon.AppendBulk(nil, bytes.Clone(args[1]))}
-		}
-		return received{reply: redcon.AppendString(nil, "PONG")}
-	case "CLIENT", "SELECT":
-		return received{reply: redcon.AppendOK(nil)}
-	}
-	return received{reply: redcon.AppendError(nil, "ERR unknown command")}
-}
