--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -35,7 +35,6 @@
 	owed    atomic.Int32 // answers that the reader counts on the loop to give
 	resume  chan struct{}
 	weaned  atomic.Bool // no further command is waited for
-	heard   bool        // it has brought a request
 	ending  bool        // to be closed once all is answered
 	read    bool        // nothing more is read from it
 	closed  bool
@@ -65,7 +64,6 @@
 		if r.cmd == nil {
 			e.c.reply(s, r.reply)
 		} else {
-			e.c.heard = true
 			l.accept(e.c, s, r.cmd)
 		}
 		l.drainTodo()
@@ -108,17 +106,13 @@
 	}
 }
 
-// evictClient makes room for a new connection by closing one that is owed nothing: the one that has been quiet
-// for longest of those that never brought a request, else of all. A flood of silent newcomers so ends itself,
-// and not the connections of usual clients. If all are owed answers nothing is closed, and the new one takes
-// from the servers' share of descriptors.
+// evictClient makes room for a new connection by closing the one that has been quiet for longest. (Closing those
+// that have not asked yet in its place was measured: in a crowd of newcomers it is they who are about to ask.) If
+// all are owed answers nothing is closed, and the new one takes from the servers' share of descriptors.
 func (l *loop) evictClient() {
 	var quiet *client
 	for c := range l.clients {
-		if len(c.slots) > 0 || c.busy || c.ending {
-			continue
-		}
-		if quiet == nil || (c.heard == quiet.heard && c.used < quiet.used) || (!c.heard && quiet.heard) {
+		if len(c.slots) == 0 && !c.busy && !c.ending && (quiet == nil || c.used < quiet.used) {
 			quiet = c
 		}
 	}
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -117,7 +117,7 @@
 		units = unitsMost
 	}
 	switch {
-	case c.wait <= 0 || c.wait > c.limit:
+	case c.wait <= 0 || c.wait >= c.limit+time.Millisecond: // d is in whole milliseconds, so it may be rounded up
 		return errors.New("d is out of range")
 	case c.req.Units < 1 || c.req.Units > units:
 		return errors.New("units are out of range")
