Rename the module to sloepick; lift the stand-ins out of the gateway's tests

The module still bore its inherited name, and other packages' tests need the stand-in node, discovery and client that only internal/gateway could use.

--- a/cmd/sloepick/main.go
+++ b/cmd/sloepick/main.go
@@ -14,7 +14,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"winghatch/internal/gateway"
+	"sloepick/internal/gateway"
 )
 
 const (
--- a/cmd/wirehost/wire.go
+++ b/cmd/wirehost/wire.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"winghatch/decide"
-	"winghatch/internal/settings"
+	"sloepick/decide"
+	"sloepick/internal/settings"
 )
 
 // host keeps the gateways of this process. They share nothing.
--- a/cmd/wirehost/wire_test.go
+++ b/cmd/wirehost/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 const profile = `{"Classes":[{"AimNs":1000000000,"Effect":"safe","GiveUpNs":4000000000,"Importance":1,"Name":"get"}],` +
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 // A gateway is told what happens and says what to do; the caller does it.
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -10,7 +10,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 const (
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -10,8 +10,8 @@
 	"os"
 	"strconv"
 
-	"winghatch/decide"
-	"winghatch/internal/settings"
+	"sloepick/decide"
+	"sloepick/internal/settings"
 )
 
 // Config is what one gateway is told at its start.
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -12,7 +12,7 @@
 	"net/netip"
 	"time"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 const (
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -11,7 +11,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 // event is something that the loop is told by another goroutine.
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 // still is a loop that a test drives by hand.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,7 +7,7 @@
 	"net"
 	"net/netip"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 const datagramMost = 256 // bytes of a message between gateways
--- a/internal/gateway/resp.go
+++ b/internal/gateway/resp.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"unicode/utf8"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 // Bounds on what peers send. Each is checked on the header that tells it, so that what can't become a command
--- a/internal/gateway/resp_test.go
+++ b/internal/gateway/resp_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 // An answer has one shape. All else is noise, known as such as early as can be: it was served, or waited for to the
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -1,25 +1,18 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"net/netip"
-	"strconv"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/tidwall/redcon"
-
-	"winghatch/internal/settings"
+	"sloepick/internal/settings"
+	"sloepick/internal/stand"
 )
 
 const (
@@ -47,36 +40,20 @@
 
 func newBackend(t *testing.T) *backend {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	b := &backend{got: make(chan exchange, 64)}
+	s, err := stand.NewScripted(func(conn net.Conn, args []string) { b.got <- exchange{conn, args} })
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &backend{addr: ln.Addr().String(), got: make(chan exchange, 64)}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
+	t.Cleanup(func() {
+		go func() { // some may wait to hand over what no test took
+			for range b.got {
 			}
-			t.Cleanup(func() { conn.Close() })
-			go func() {
-				rd := redcon.NewReader(conn)
-				for {
-					cmd, err := rd.ReadCommand()
-					if err != nil {
-						b.got <- exchange{conn, nil} // the connection ended
-						return
-					}
-					var args []string
-					for _, a := range cmd.Args {
-						args = append(args, string(a))
-					}
-					b.got <- exchange{conn, args}
-				}
-			}()
-		}
-	}()
+		}()
+		s.Close()
+		close(b.got)
+	})
+	b.addr = s.Addr()
 	return b
 }
 
@@ -100,51 +77,24 @@
 
 // registry is discovery under a test's control.
 type registry struct {
-	mu      sync.Mutex
-	list    serverList
-	changed chan struct{}
-	calls   chan string // the queries of the calls, the latest left out where nobody takes them
+	*stand.Discovery
+	calls chan string
 }
 
 // newRegistry starts discovery with a list and tells its address.
 func newRegistry(t *testing.T, list serverList) (*registry, netip.AddrPort) {
 	t.Helper()
-	r := &registry{list: list, changed: make(chan struct{}), calls: make(chan string, 64)}
-	web := httptest.NewServer(r)
-	t.Cleanup(func() {
-		web.CloseClientConnections()
-		web.Close()
-	})
-	return r, netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://"))
+	d, err := stand.NewDiscovery(list.Version, list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return &registry{d, d.Calls}, d.Addr()
 }
 
 func (r *registry) set(list serverList) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.list = list
-	close(r.changed)
-	r.changed = make(chan struct{})
-}
-
-func (r *registry) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	select {
-	case r.calls <- req.URL.RawQuery:
-	default:
-	}
-	after, err := strconv.ParseUint(req.URL.Query().Get("after"), 10, 64)
-	for {
-		r.mu.Lock()
-		list, changed := r.list, r.changed
-		r.mu.Unlock()
-		if err != nil || list.Version > after {
-			json.NewEncoder(w).Encode(list)
-			return
-		}
-		select {
-		case <-changed:
-		case <-req.Context().Done():
-			return
-		}
+	if err := r.Set(list.Version, list); err != nil {
+		panic(err)
 	}
 }
 
@@ -194,31 +144,29 @@
 
 // caller is a client's connection.
 type caller struct {
+	*stand.Client
 	t    *testing.T
 	conn net.Conn
-	rd   *bufio.Reader
 }
 
 func (r *rig) dial(t *testing.T) *caller {
 	t.Helper()
-	conn, err := net.Dial("tcp", r.addr)
+	c, err := stand.Dial(r.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { conn.Close() })
-	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+	t.Cleanup(c.Close)
+	if err := c.Conn.SetDeadline(time.Now().Add(patience)); err != nil {
 		t.Fatal(err)
 	}
-	return &caller{t, conn, bufio.NewReader(conn)}
+	return &caller{c, t, c.Conn}
 }
 
 func (c *caller) send(words ...string) {
 	c.t.Helper()
-	b := redcon.AppendArray(nil, len(words))
-	for _, w := range words {
-		b = redcon.AppendBulkString(b, w)
+	if err := c.Send(words...); err != nil {
+		c.t.Fatal(err)
 	}
-	c.raw(string(b))
 }
 
 func (c *caller) raw(s string) {
@@ -231,23 +179,11 @@
 // read returns a whole answer: a line, or the value of a bulk string after a '$'.
 func (c *caller) read() string {
 	c.t.Helper()
-	line, err := c.rd.ReadString('\n')
-	if err != nil {
-		return err.Error()
-	}
-	line = strings.TrimSuffix(line, "\r\n")
-	if line[0] != '$' {
-		return line
-	}
-	n, err := strconv.Atoi(line[1:])
+	got, err := c.Read()
 	if err != nil {
-		c.t.Fatal(err)
-	}
-	b := make([]byte, n+2)
-	if _, err := io.ReadFull(c.rd, b); err != nil {
 		return err.Error()
 	}
-	return "$" + string(b[:n])
+	return got
 }
 
 func (c *caller) want(answer string) {
@@ -267,9 +203,7 @@
 	c.send("Q.DO", customer, id, "c=book,t=p,d=30000,k=77,units=1,spread=2,first=0", "BODY")
 }
 
-func served(value string) string {
-	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
-}
+func served(value string) string { return stand.Served(value) }
 
 // join gives the loop a new connection, as the listener does.
 func join(l *loop, c *client) {
--- a/internal/gateway/rude_test.go
+++ b/internal/gateway/rude_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 // brief are limits that a test can wait out.
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 // narrow is a pair whose kernel buffer takes little, so that large writes don't go at once.
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 // outcome is what the module was last told of an attempt.
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 // A watch that is silent is given up and made again, and the next call goes on from the version last told.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 const (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,7 +8,7 @@
 	"fmt"
 	"time"
 
-	"winghatch/decide"
+	"sloepick/decide"
 )
 
 // wire are the wire's words for decide.Config. Keys that are not named here are ignored.
