Add the operators' configuration language and let the gateway be tuned by it

Routes, stores and quotas will be edited by several people, and the gateway's limits stood as constants in its code. internal/sloe is the language (lexer, parser, tree with comments, formatter, includes with bounds), held to a written grammar by a test that also draws sentences from it; internal/operator gives it meaning from one declared schema (checking, defaults, show, doc, diff by meaning); internal/tuning declares what the gateway's core lets operators set, with today's values as defaults. The daemon takes -operator or GW_OPERATOR; SIGHUP reads both files, all or nothing.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,194 @@
+// Package daemon is the program round the gateway: its start, its reload by SIGHUP and its end by SIGTERM.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"sloepick/internal/blocks"
+	"sloepick/internal/gateway"
+	"sloepick/internal/operator"
+	"sloepick/internal/sloe"
+	"sloepick/internal/tuning"
+)
+
+const (
+	heapPart  = 0.6 // of the memory limit: the rest is for stacks, the runtime and what the kernel counts
+	gcPercent = 400 // the live heap is small, so memory is cheaper than collections
+
+	steadyFor  = 25 * time.Millisecond // an operator file that reads the same twice, so far apart, is not being written
+	steadyMost = 2 * time.Second       // one that goes on changing is not taken
+)
+
+// Main runs the daemon with the arguments behind the program's name and returns its exit code.
+func Main(args []string, getenv func(string) string, stderr io.Writer) int {
+	if err := run(args, getenv, stderr); err != nil {
+		fmt.Fprintln(stderr, "sloepick:", err)
+		return 1
+	}
+	return 0
+}
+
+func run(args []string, getenv func(string) string, stderr io.Writer) error {
+	hup := make(chan os.Signal, 1) // from the first moment on: the default is to die of it
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	file, err := operatorFile(args, getenv)
+	if err != nil {
+		return err
+	}
+	cfg, err := gateway.LoadConfig(getenv)
+	if err != nil {
+		return err
+	}
+	var level slog.LevelVar
+	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: &level})).With("gateway", cfg.Name)
+	r := reloader{file: file, getenv: getenv, log: log, level: &level, reloads: make(chan gateway.Reload)}
+	if file != "" {
+		if r.now, err = load(file, log); err != nil {
+			return err
+		}
+		cfg.Tuning = tuning.From(r.now)
+		level.Set(blocks.Level(r.now))
+	}
+	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB<<20)))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log.Info("starting", "listen", cfg.Listen, "servers", len(cfg.Known.Servers))
+	go r.run(ctx, hup)
+	if err := gateway.Run(ctx, cfg, r.reloads, log); err != nil {
+		return err
+	}
+	log.Info("stopped")
+	return nil
+}
+
+// operatorFile is the file that the flag names, or else the environment, or none.
+func operatorFile(args []string, getenv func(string) string) (string, error) {
+	fs := flag.NewFlagSet("sloepick", flag.ContinueOnError)
+	fs.SetOutput(io.Discard) // the error is told once, as any other
+	file := fs.String("operator", getenv("GW_OPERATOR"), "the operators' file")
+	if err := fs.Parse(args); err != nil {
+		return "", err
+	}
+	if fs.NArg() > 0 {
+		return "", fmt.Errorf("unexpected argument %q", fs.Arg(0))
+	}
+	return *file, nil
+}
+
+// load reads an operator file. Its warnings go to the log; its errors are told with their places.
+func load(file string, log *slog.Logger) (*operator.Config, error) {
+	c, diags, err := blocks.Schema().Load(file)
+	if err != nil {
+		return nil, err
+	}
+	if diags.Failed() {
+		return nil, fmt.Errorf("the operator file can't be used:\n%s", strings.TrimRight(diags.Error(), "\n"))
+	}
+	for _, d := range diags {
+		log.Warn(d.Msg, "at", d.Pos.String())
+	}
+	return c, nil
+}
+
+// reloader reads both files again at each SIGHUP and passes on what changed.
+type reloader struct {
+	file    string // "": none
+	now     *operator.Config
+	getenv  func(string) string
+	log     *slog.Logger
+	level   *slog.LevelVar
+	reloads chan gateway.Reload
+}
+
+func (r *reloader) run(ctx context.Context, hup <-chan os.Signal) {
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		next, err := r.reload(ctx)
+		if err != nil {
+			r.log.Error("reload failed, the former configuration stays", "err", err)
+			continue
+		}
+		select {
+		case r.reloads <- next:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reload reads everything before it changes anything: a slip in one file must not stop a gateway that serves, nor
+// leave it with half of a change.
+func (r *reloader) reload(ctx context.Context) (gateway.Reload, error) {
+	addr, err := gateway.LoadDiscovery(r.getenv)
+	if err != nil {
+		return gateway.Reload{}, err
+	}
+	next := gateway.Reload{Discovery: addr}
+	if r.file == "" {
+		r.log.Info("reloaded", "discovery", addr)
+		return next, nil
+	}
+	c, err := r.steady(ctx)
+	if err != nil {
+		return gateway.Reload{}, err
+	}
+	changes := operator.Diff(r.now, c)
+	for _, ch := range changes {
+		if ch.Takes == operator.AtRestart.String() {
+			r.log.Warn("a change needs a restart", "change", ch.String())
+		} else {
+			r.log.Info("changed", "change", ch.String())
+		}
+	}
+	t := tuning.From(c)
+	next.Tuning = &t
+	r.now = c
+	r.level.Set(blocks.Level(c))
+	r.log.Info("reloaded", "discovery", addr, "operator", r.file, "changes", len(changes))
+	return next, nil
+}
+
+// steady reads the operator file until it reads the same twice: an editor may be in the middle of writing it.
+func (r *reloader) steady(ctx context.Context) (*operator.Config, error) {
+	c, err := load(r.file, r.log)
+	for end := time.Now().Add(steadyMost); time.Now().Before(end); {
+		select {
+		case <-time.After(steadyFor):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		again, errAgain := load(r.file, r.log)
+		if same(c, again, err, errAgain) {
+			return again, errAgain
+		}
+		c, err = again, errAgain
+	}
+	return nil, errors.New("the operator file goes on changing while it is read")
+}
+
+func same(a, b *operator.Config, errA, errB error) bool {
+	if errA != nil || errB != nil {
+		return errA != nil && errB != nil && errA.Error() == errB.Error()
+	}
+	return sloe.SameText(a.Sources, b.Sources)
+}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -10,14 +10,7 @@
 	"time"
 )
 
-const (
-	clientBuffer = 1 << 10         // bytes of a connection's read buffer between commands
-	owedMost     = 64              // answers owed on one connection; further commands wait to be read
-	backlogMost  = 1 << 20         // bytes of answers that a client leaves unread, before it is given up
-	clientWrite  = 2 * time.Second // a client that takes nothing for so long is given up
-	faultWithin  = time.Second     // a connection that can't be read any more ends after this, whatever is open on it
-	acceptAhead  = 16              // connections that may be taken before the loop has counted them
-)
+const clientBuffer = 1 << 10 // bytes of a connection's read buffer between commands
 
 // slot holds the place of an answer among those of its connection.
 type slot struct {
@@ -33,11 +26,13 @@
 	backlog []byte  // answers behind those that are being written
 	used    time.Duration
 	owed    atomic.Int32 // answers that the reader counts on the loop to give
-	resume  chan struct{}
-	weaned  atomic.Bool // no further command is waited for
-	ending  bool        // to be closed once all is answered
-	read    bool        // nothing more is read from it
-	closed  bool
+	// owedMost is the bound by which the reader waits; it takes a new one with each read.
+	owedMost atomic.Int32
+	resume   chan struct{}
+	weaned   atomic.Bool // no further command is waited for
+	ending   bool        // to be closed once all is answered
+	read     bool        // nothing more is read from it
+	closed   bool
 }
 
 // received is one command as the reader found it: a request, or an answer that needs no decision.
@@ -76,7 +71,7 @@
 		l.endIfDone(e.c)
 	}
 	if e.fault && !e.c.closed {
-		l.at(l.clock.now()+faultWithin, func() { l.closeClient(e.c) })
+		l.at(l.clock.now()+l.tune.Load().Clients.Fault, func() { l.closeClient(e.c) })
 	}
 }
 
@@ -90,7 +85,7 @@
 
 func (e joined) apply(l *loop) {
 	<-l.ahead
-	if len(l.clients) >= clientSockets(l.cfg.Sockets) {
+	if len(l.clients) >= sockets(l.cfg.Sockets, l.tune.Load().Clients.Descriptors) {
 		l.evictClient()
 	}
 	if len(l.clients) >= l.cfg.Sockets-leastSockets {
@@ -99,10 +94,10 @@
 	}
 	e.c.used = l.clock.now()
 	l.clients[e.c] = struct{}{}
-	r := reader{c: e.c, cfg: &l.cfg, clock: l.clock, limits: l.limits, post: l.in.post}
+	r := reader{c: e.c, cfg: &l.cfg, clock: l.clock, tune: l.tune, post: l.in.post}
 	go r.run()
 	if l.closing {
-		l.at(e.c.used+lastCall, func() { l.wean(e.c) })
+		l.at(e.c.used+l.tune.Load().Stop.LastCall, func() { l.wean(e.c) })
 	}
 }
 
@@ -146,7 +141,7 @@
 	if n > 0 {
 		c.slots = slices.Delete(c.slots, 0, n)
 		c.used = l.clock.now()
-		if before := c.owed.Add(int32(-n)) + int32(n); before >= owedMost {
+		if before := c.owed.Add(int32(-n)) + int32(n); before >= c.owedMost.Load() {
 			select {
 			case c.resume <- struct{}{}:
 			default:
@@ -163,7 +158,7 @@
 		c.backlog = nil
 		return
 	}
-	if len(c.backlog) > backlogMost {
+	if len(c.backlog) > l.tune.Load().Clients.Unread {
 		l.closeClient(c)
 		return
 	}
@@ -181,7 +176,7 @@
 	}
 	rest := c.backlog[n:]
 	c.backlog = nil
-	c.finish(rest, clientWrite, l.in.post, func(err error) event { return flushed{c, err} })
+	c.finish(rest, l.tune.Load().Clients.Write, l.in.post, func(err error) event { return flushed{c, err} })
 }
 
 // flushed tells how a slow write to a client ended.
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -12,6 +12,7 @@
 
 	"sloepick/decide"
 	"sloepick/internal/settings"
+	"sloepick/internal/tuning"
 )
 
 // Config is what one gateway is told at its start.
@@ -27,6 +28,7 @@
 	Peers      []netip.AddrPort // by the gateways' numbers
 	Known      serverList       // as this gateway last had it
 	Settings   settings.Settings
+	Tuning     tuning.Tuning // the zero value: what holds without an operator file
 }
 
 // fileConfig is the form of the configuration file.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -7,11 +7,13 @@
 	"runtime/debug"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/redcon"
 
 	"sloepick/decide"
+	"sloepick/internal/tuning"
 )
 
 // event is something that the loop is told by another goroutine.
@@ -138,9 +140,9 @@
 	nextID   uint64
 	pool     pool
 	clients  map[*client]struct{}
-	limits   clientLimits
-	ahead    chan struct{} // holds one for each connection that was taken and is not counted yet
-	held     int           // bytes of the commands of open requests
+	tune     *atomic.Pointer[tuning.Tuning] // stored by the loop, read by the goroutines of connections too
+	ahead    chan struct{}                  // holds one for each connection that was taken and is not counted yet
+	held     int                            // bytes of the commands of open requests
 	closing  bool
 	restarts int
 }
@@ -149,13 +151,16 @@
 	deadlineMargin = 10 * time.Millisecond // an answer leaves so long before the client stops waiting: it
 	// covers the way from the client, whose clock began when it sent the request, and the way back
 	overdueAfter = 5 * time.Millisecond // past its end, a request that the module left open is failed
-	heldPart     = 4                    // of the memory limit goes to open commands; beyond it new requests are refused
 )
 
 func newLoop(cfg Config, log *slog.Logger) (*loop, error) {
 	l := &loop{cfg: cfg, log: log, clock: newClock(), in: newInbox(), requests: map[string]*request{},
-		ids: map[string]struct{}{}, clients: map[*client]struct{}{}, limits: usualLimits,
-		ahead: make(chan struct{}, acceptAhead)}
+		ids: map[string]struct{}{}, clients: map[*client]struct{}{}, tune: &atomic.Pointer[tuning.Tuning]{}}
+	if cfg.Tuning == (tuning.Tuning{}) {
+		cfg.Tuning = tuning.Default()
+	}
+	l.tune.Store(&cfg.Tuning)
+	l.ahead = make(chan struct{}, cfg.Tuning.Clients.AcceptAhead)
 	l.pool = newPool(l, cfg)
 	if err := l.startCore(); err != nil {
 		return nil, err
@@ -317,10 +322,13 @@
 	return redcon.AppendError(nil, "BUSY "+strconv.FormatInt(int64(ms), 10))
 }
 
+// heldMost is how many bytes the commands of open requests may take.
+func (l *loop) heldMost() int { return int(float64(l.cfg.MemoryMB<<20) * l.tune.Load().Clients.Held) }
+
 // accept takes a request that has been read whole.
 func (l *loop) accept(c *client, s *slot, cmd *command) {
 	cap := l.cfg.Settings.OpenCap
-	if l.held+cmd.size() > l.cfg.MemoryMB<<20/heldPart || (cap > 0 && len(l.requests) >= cap) {
+	if l.held+cmd.size() > l.heldMost() || (cap > 0 && len(l.requests) >= cap) {
 		c.reply(s, busy(l.cfg.Settings.Decide.Limits.MaxRetryAfter))
 		l.flush(c)
 		return
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -213,7 +213,7 @@
 func TestConnectionsAreBounded(t *testing.T) {
 	l := still(t, unreachable(t))
 	s := l.pool.servers["s-0"]
-	for _, full := range []func(){func() { s.conns = perServerMost }, func() { l.pool.conns = l.pool.most }} {
+	for _, full := range []func(){func() { s.conns = usual.Nodes.Connections }, func() { l.pool.conns = l.pool.most }} {
 		l.pool.conns, s.conns = 0, 0
 		full()
 		a := &attempt{req: &request{id: "r"}, server: s}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -6,32 +6,25 @@
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/redcon"
-)
-
-// clientLimits bound how long a connection may hold a descriptor and give nothing for it.
-type clientLimits struct {
-	command time.Duration // for the first command of a connection, and for the end of one that has begun
-	idle    time.Duration // between commands, with nothing open
-}
 
-// usualLimits: clients write a command in one go. Those that keep a connection use it again within seconds, or
-// have left it for good.
-var usualLimits = clientLimits{command: 2 * time.Second, idle: 5 * time.Second}
+	"sloepick/internal/tuning"
+)
 
 // reader reads the commands of one connection and hands them to the loop. It runs in a goroutine of its own.
 type reader struct {
-	c      *client
-	cfg    *Config
-	clock  clock
-	limits clientLimits
-	post   func(event)
-	buf    []byte    // of a command that is not whole yet
-	args   [][]byte  // memory for the next command's
-	since  time.Time // the start, the last whole command, or the first byte of the one in buf
-	heard  bool      // there was a whole command
+	c     *client
+	cfg   *Config
+	clock clock
+	tune  *atomic.Pointer[tuning.Tuning] // as the loop has it now
+	post  func(event)
+	buf   []byte    // of a command that is not whole yet
+	args  [][]byte  // memory for the next command's
+	since time.Time // the start, the last whole command, or the first byte of the one in buf
+	heard bool      // there was a whole command
 }
 
 // run reads until the client leaves, breaks the framing or lets a time limit pass. One read deadline holds all
@@ -71,11 +64,14 @@
 
 var errLate = errors.New("protocol error: the command did not end in time")
 
+// deadline bounds how long a connection may hold a descriptor and give nothing for it. Clients write a command in one
+// go; those that keep a connection use it again within seconds, or have left it for good.
 func (r *reader) deadline() time.Time {
+	limits := &r.tune.Load().Clients
 	if r.heard && len(r.buf) == 0 {
-		return r.since.Add(r.limits.idle)
+		return r.since.Add(limits.Idle)
 	}
-	return r.since.Add(r.limits.command)
+	return r.since.Add(limits.FirstCommand)
 }
 
 // read takes what has come and hands on the commands that are whole.
@@ -128,9 +124,11 @@
 		return
 	}
 	e.c = r.c
+	most := int32(r.tune.Load().Clients.Pipeline)
+	r.c.owedMost.Store(most) // before the answers are owed, so that the loop wakes by the same bound
 	owed := r.c.owed.Add(int32(len(e.got)))
 	r.post(e)
-	for ; owed >= owedMost && !e.last; owed = r.c.owed.Load() {
+	for ; owed >= most && !e.last; owed = r.c.owed.Load() {
 		if _, open := <-r.c.resume; !open {
 			break
 		}
--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -41,8 +41,8 @@
 	r.reg.wantCall(t, "after=1&wait_ms=4000") // this one waits
 	second, at2 := newRegistry(t, serverList{Version: 9, Full: true, Servers: entries("draining", a)})
 	third, at3 := newRegistry(t, serverList{Version: 0, Full: true, Servers: entries("up", b)})
-	r.moves <- at2
-	r.moves <- at3 // the second may have been asked or not
+	r.moves <- Reload{Discovery: at2}
+	r.moves <- Reload{Discovery: at3} // the second may have been asked or not
 	third.wantCall(t, "")
 	third.wantCall(t, "after=0&wait_ms=4000") // so the list was taken
 	serveOne(t, c, "id-2", b)
@@ -79,14 +79,14 @@
 			silent <- conn
 		}
 	}()
-	r.moves <- netip.MustParseAddrPort(ln.Addr().String())
+	r.moves <- Reload{Discovery: netip.MustParseAddrPort(ln.Addr().String())}
 	first := <-silent
 	serveOne(t, c, "id-1", a)
 	first.Close()
 	second := <-silent // it is asked again and again
 	second.Close()
 	up, at := newRegistry(t, serverList{Version: 1, Full: true, Servers: entries("up", b)})
-	r.moves <- at
+	r.moves <- Reload{Discovery: at}
 	up.wantCall(t, "")
 	up.wantCall(t, "after=1")
 	serveOne(t, c, "id-2", b)
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -120,7 +120,7 @@
 type rig struct {
 	addr  string
 	reg   *registry
-	moves chan netip.AddrPort
+	moves chan Reload
 	stop  context.CancelFunc
 	done  chan error
 }
@@ -128,7 +128,7 @@
 func newRig(t *testing.T, aim time.Duration, backends ...*backend) *rig {
 	t.Helper()
 	cfg := testConfig(t, aim, entries("up", backends...))
-	r := &rig{moves: make(chan netip.AddrPort), done: make(chan error, 1)}
+	r := &rig{moves: make(chan Reload), done: make(chan error, 1)}
 	r.reg, cfg.Discovery = newRegistry(t, cfg.Known)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/gateway/rude_test.go
+++ b/internal/gateway/rude_test.go
@@ -9,15 +9,25 @@
 	"time"
 
 	"sloepick/decide"
+	"sloepick/internal/tuning"
 )
 
 // brief are limits that a test can wait out.
-var brief = clientLimits{command: 30 * time.Millisecond, idle: 30 * time.Millisecond}
+var brief = func() *tuning.Tuning {
+	t := tuning.Default()
+	t.Clients.FirstCommand, t.Clients.Idle = 30*time.Millisecond, 30*time.Millisecond
+	return &t
+}()
+
+var usual = func() *tuning.Tuning {
+	t := tuning.Default()
+	return &t
+}()
 
 // connect gives the loop a connection with the limits, on which something was sent, and returns the client's end.
-func connect(t *testing.T, l *loop, limits clientLimits, sent string) (*client, net.Conn) {
+func connect(t *testing.T, l *loop, limits *tuning.Tuning, sent string) (*client, net.Conn) {
 	t.Helper()
-	l.limits = limits
+	l.tune.Store(limits)
 	near, far := pair(t)
 	if _, err := io.WriteString(far, sent); err != nil {
 		t.Fatal(err)
@@ -75,7 +85,7 @@
 	for len(c.slots) == 0 {
 		step(l)
 	}
-	time.Sleep(4 * brief.idle) // its limit passes, some times
+	time.Sleep(4 * brief.Clients.Idle) // its limit passes, some times
 	for _, e := range l.in.take(nil) {
 		if e, ok := e.(commands); ok && e.last {
 			t.Error("the waiting client was given up")
@@ -92,13 +102,13 @@
 // Where room is needed the connection that has been quiet for longest goes, and not one that is owed an answer.
 func TestWhoMakesRoom(t *testing.T) {
 	l := still(t, unreachable(t))
-	owed, _ := connect(t, l, usualLimits, asked("id"))
+	owed, _ := connect(t, l, usual, asked("id"))
 	for len(owed.slots) == 0 {
 		step(l)
 	}
 	owed.used = 0
-	old, far := connect(t, l, usualLimits, "")
-	young, _ := connect(t, l, usualLimits, "")
+	old, far := connect(t, l, usual, "")
+	young, _ := connect(t, l, usual, "")
 	old.used = young.used - time.Second
 	l.evictClient()
 	for !old.closed {
@@ -200,7 +210,7 @@
 // What can't be read ends its connection soon, though requests are open on it.
 func TestFaultDoesNotWaitForOpenRequests(t *testing.T) {
 	l := still(t, unreachable(t))
-	c, far := connect(t, l, usualLimits, asked("id")+"*-1\r\n")
+	c, far := connect(t, l, usual, asked("id")+"*-1\r\n")
 	for !c.read {
 		step(l)
 	}
@@ -208,7 +218,7 @@
 		t.Fatal("the open request got no time")
 	}
 	for _, a := range l.alarms {
-		a.at -= faultWithin
+		a.at -= usual.Clients.Fault
 	}
 	l.ring()
 	text(t, far)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"sloepick/internal/tuning"
 )
 
 // The descriptors that a gateway may hold are parted between clients and servers; the rest is for the
@@ -18,28 +20,28 @@
 	reserveSockets = 32
 )
 
-func upstreamSockets(all int) int { return (all - reserveSockets) / 2 }
-func clientSockets(all int) int   { return (all - reserveSockets) / 2 }
+// sockets are a share of those that may be parted.
+func sockets(all int, share float64) int { return int(float64(all-reserveSockets) * share) }
 
-const (
-	acceptOn = 500 * time.Millisecond // after the stop: the front goes on sending new connections for a while
-	lastCall = 200 * time.Millisecond // for a connection that came in as the listener closed
-	stopMost = 10 * time.Second       // after that, what is still owed is failed
-)
+// Reload is what a running gateway takes anew.
+type Reload struct {
+	Discovery netip.AddrPort // where it is from then on; its whole list is asked for, moved or not
+	Tuning    *tuning.Tuning // nil: as it was
+}
 
 // Run serves until the context ends; then it takes what still comes for a moment, answers all that it has
-// taken, and returns. Each address that comes over moves is where discovery is from then on.
-func Run(ctx context.Context, cfg Config, moves <-chan netip.AddrPort, log *slog.Logger) error {
+// taken, and returns. What comes over reloads counts from then on.
+func Run(ctx context.Context, cfg Config, reloads <-chan Reload, log *slog.Logger) error {
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", cfg.Listen.String())
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
 	defer ln.Close()
-	return serve(ctx, cfg, moves, ln, log)
+	return serve(ctx, cfg, reloads, ln, log)
 }
 
-func serve(ctx context.Context, cfg Config, moves <-chan netip.AddrPort, ln net.Listener, log *slog.Logger) error {
+func serve(ctx context.Context, cfg Config, reloads <-chan Reload, ln net.Listener, log *slog.Logger) error {
 	l, err := newLoop(cfg, log)
 	if err != nil {
 		return err
@@ -55,6 +57,8 @@
 		defer l.peers.conn.Close()
 		wg.Go(func() { l.peers.read(l.in.post, log) })
 	}
+	moves := make(chan netip.AddrPort)
+	wg.Go(func() { takeReloads(inner, reloads, moves, l.in.post) })
 	wg.Go(func() { follow(inner, cfg.Discovery, moves, l.in.post, log) })
 	wg.Go(func() { acceptClients(inner, ln, l.ahead, l.in.post, log) })
 	wg.Go(func() {
@@ -72,25 +76,65 @@
 	return nil
 }
 
+// takeReloads hands reloads on until the context ends.
+func takeReloads(ctx context.Context, reloads <-chan Reload, moves chan<- netip.AddrPort, post func(event)) {
+	for {
+		select {
+		case r := <-reloads:
+			if r.Tuning != nil {
+				post(retuned{r.Tuning})
+			}
+			select {
+			case moves <- r.Discovery:
+			case <-ctx.Done():
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// retuned brings other values for what operators may set. Open connections go by them from their next command on.
+type retuned struct{ t *tuning.Tuning }
+
+func (r retuned) apply(l *loop) {
+	l.tune.Store(r.t)
+	l.pool.retune()
+}
+
 // stop begins the end of the gateway.
 type stop struct{ ln net.Listener }
 
 func (s stop) apply(l *loop) {
 	now := l.clock.now()
 	l.log.Info("stopping", "open", len(l.requests))
-	l.at(now+acceptOn, func() {
+	t := l.tune.Load().Stop
+	l.at(now+t.Accept, func() {
 		s.ln.Close()
 		l.closing = true
 		for c := range l.clients {
 			l.wean(c)
 		}
 	})
-	l.at(now+stopMost, func() {
+	l.at(now+max(t.Longest, l.longestWait()+t.Accept+t.LastCall), func() {
 		for c := range l.clients {
 			l.closeClient(c)
 		}
 	})
 }
 
+// longestWait is how long a client may wait for an answer.
+func (l *loop) longestWait() (longest time.Duration) {
+	for _, k := range l.cfg.Settings.Decide.Classes {
+		wait := k.Deadline
+		if wait <= 0 {
+			wait = waitMost
+		}
+		longest = max(longest, wait)
+	}
+	return longest
+}
+
 // finished reports that the gateway is stopping and owes nothing.
 func (l *loop) finished() bool { return l.closing && len(l.clients) == 0 }
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -108,7 +108,7 @@
 // Many commands at once are all answered, though only so many may be owed at a time.
 func TestDeepPipeline(t *testing.T) {
 	c := newRig(t, long, newBackend(t)).dial(t)
-	const n = 5 * owedMost
+	n := 5 * usual.Clients.Pipeline
 	go io.WriteString(c.conn, strings.Repeat("*1\r\n$4\r\nPING\r\n", n))
 	for range n {
 		c.want("+PONG")
@@ -119,7 +119,7 @@
 func TestOpenRequestsAreBounded(t *testing.T) {
 	for name, fill := range map[string]func(l *loop){
 		"open": func(l *loop) { l.cfg.Settings.OpenCap = 1 },
-		"held": func(l *loop) { l.held = l.cfg.MemoryMB << 20 / heldPart },
+		"held": func(l *loop) { l.held = l.heldMost() },
 	} {
 		l := still(t, unreachable(t))
 		first, _ := open(t, l)
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -106,7 +106,7 @@
 			t.Fatal("the copy was read, or never came")
 		}
 	}
-	c.used -= settleFor
+	c.used -= usual.Nodes.Rest
 	second := &attempt{req: &request{id: "r", cmd: a.req.cmd}, server: a.server, until: l.clock.now() + long}
 	l.pool.start(second)
 	if !c.closed || second.conn != nil {
@@ -133,7 +133,7 @@
 	if l.pool.rested(s) != nil {
 		t.Error("a connection that was just used is taken")
 	}
-	c.used = l.clock.now() - settleFor
+	c.used = l.clock.now() - usual.Nodes.Rest
 	if l.pool.rested(s) != c {
 		t.Error("a connection that has rested is not taken")
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -14,16 +14,7 @@
 )
 
 const (
-	perServerMost = 64      // connections to one server, open or being made
-	idlePart      = 3       // an idle connection is retired after this part of the servers' idle limit
-	readFirst     = 1 << 10 // bytes of a connection's first read buffer
-	// What a server sends right behind an answer, such as a second copy, is on its way as long as the answer was,
-	// give or take the network's jitter. A connection that has stood for this long with nothing in the kernel is
-	// in step; one that is used sooner might bring the next request another one's answer.
-	settleFor = 10 * time.Millisecond
-	// A server writes an answer in one go. One that has begun and is not whole after this trickles, and the
-	// request has better uses for the time that is left to it.
-	answerWithin = 250 * time.Millisecond
+	readFirst = 1 << 10 // bytes of a connection's first read buffer
 	// The loop may come to a time-out late, when the core was busy elsewhere: from so much on, what the server
 	// said may lie unread, and the time-out says nothing of the server.
 	lateness = 20 * time.Millisecond
@@ -42,14 +33,14 @@
 type upConn struct {
 	outlet
 	server *upstream
-	att    *attempt      // whose answer is owed
-	asked  chan struct{} // tells the reader that an answer is owed
+	att    *attempt           // whose answer is owed
+	asked  chan time.Duration // tells the reader that an answer is owed, and how long one may take once it has begun
 	used   time.Duration
 	closed bool
 }
 
 func newUpConn(out outlet, s *upstream, now time.Duration) *upConn {
-	return &upConn{outlet: out, server: s, used: now, asked: make(chan struct{}, 1)}
+	return &upConn{outlet: out, server: s, used: now, asked: make(chan time.Duration, 1)}
 }
 
 // attempt is one try at one server.
@@ -72,12 +63,23 @@
 	most     int
 	dialFor  time.Duration
 	idleFor  time.Duration
+	perNode  int // connections to one server, open or being made
+	restFor  time.Duration
 	sweeping bool
 }
 
 func newPool(l *loop, cfg Config) pool {
-	return pool{l: l, servers: map[string]*upstream{}, most: upstreamSockets(cfg.Sockets),
-		dialFor: cfg.Settings.Decide.Limits.ConnectTimeout, idleFor: cfg.Settings.ConnIdle / idlePart}
+	p := pool{l: l, servers: map[string]*upstream{}, dialFor: cfg.Settings.Decide.Limits.ConnectTimeout}
+	p.retune()
+	return p
+}
+
+// retune takes the values that operators may set. Connections over a lower bound go as they fall idle.
+func (p *pool) retune() {
+	t := &p.l.tune.Load().Nodes
+	p.most = sockets(p.l.cfg.Sockets, t.Descriptors)
+	p.idleFor = p.l.cfg.Settings.ConnIdle / time.Duration(t.IdlePart)
+	p.perNode, p.restFor = t.Connections, t.Rest
 }
 
 // update takes an entry of the list. The id is the server; its address and its process may change.
@@ -148,18 +150,21 @@
 	if p.conns >= p.room() {
 		p.evict()
 	}
-	if s.conns >= perServerMost || p.conns >= p.room() {
+	if s.conns >= p.perNode || p.conns >= p.room() {
 		p.l.ended(a, decide.Moot) // no fault of the server's, which heard nothing of it
 		return
 	}
 	p.dial(a)
 }
 
-// rested takes the idle connection that was used last, of those that have stood for settleFor.
+// rested takes the idle connection that was used last, of those that have stood for restFor. What a server sends
+// right behind an answer, such as a second copy, is on its way as long as the answer was, give or take the network's
+// jitter. A connection that has stood for this long with nothing in the kernel is in step; one that is used sooner
+// might bring the next request another one's answer.
 func (p *pool) rested(s *upstream) *upConn {
 	now := p.l.clock.now()
 	for i := len(s.idle) - 1; i >= 0; i-- {
-		if c := s.idle[i]; c.used+settleFor <= now {
+		if c := s.idle[i]; c.used+p.restFor <= now {
 			s.idle = slices.Delete(s.idle, i, i+1)
 			return c
 		}
@@ -278,7 +283,7 @@
 		return n > 0
 	}
 	c.att, a.conn, c.used = a, c, p.l.clock.now()
-	c.asked <- struct{}{} // the reader has taken the one before
+	c.asked <- p.l.tune.Load().Nodes.Answer // the reader has taken the one before
 	if n == len(b) {
 		a.whole = true
 		return true
@@ -317,7 +322,7 @@
 
 // park keeps a connection for the next attempt.
 func (p *pool) park(c *upConn) {
-	if c.closed || c.busy {
+	if c.closed || c.busy || p.conns > p.most || c.server.conns > p.perNode {
 		p.close(c)
 		return
 	}
@@ -447,8 +452,8 @@
 // read here, a copy in the reader's hands could meet the next request and pass for its answer.
 func (c *upConn) read(post func(event)) {
 	buf := make([]byte, 0, readFirst)
-	for range c.asked {
-		a, err := c.readAnswer(&buf)
+	for within := range c.asked {
+		a, err := c.readAnswer(&buf, within)
 		if err != nil {
 			post(broke{c, errors.Is(err, errSpoilt)})
 			return
@@ -463,7 +468,9 @@
 	}
 }
 
-func (c *upConn) readAnswer(buf *[]byte) (answer, error) {
+// readAnswer reads one. A server writes an answer in one go: one that has begun and is not whole within the time
+// trickles, and the request has better uses for the time that is left to it.
+func (c *upConn) readAnswer(buf *[]byte, within time.Duration) (answer, error) {
 	b := *buf
 	for begun := false; ; {
 		if len(b) == cap(b) {
@@ -486,7 +493,7 @@
 			return a, err
 		case !begun:
 			begun = true
-			if err := c.conn.SetReadDeadline(time.Now().Add(answerWithin)); err != nil {
+			if err := c.conn.SetReadDeadline(time.Now().Add(within)); err != nil {
 				return a, err
 			}
 		}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,155 @@
+// Package tuning is what operators may set of the gateway's core: the values, their defaults and bounds, and what
+// must hold between them. It is pure; the gateway takes a Tuning at its start and at each reload.
+package tuning
+
+import (
+	"fmt"
+	"time"
+
+	"sloepick/internal/operator"
+)
+
+// Tuning is one set of values. It is never changed after it was made.
+type Tuning struct {
+	Clients Clients
+	Nodes   Nodes
+	Stop    Stop
+}
+
+// Clients are the values of clients' connections.
+type Clients struct {
+	FirstCommand time.Duration // to a connection's first command, and to the end of one that has begun
+	Idle         time.Duration // between commands, with nothing open
+	Write        time.Duration // a client that takes nothing for so long is given up
+	Fault        time.Duration // a connection that can't be read any more ends after this, whatever is open on it
+	Pipeline     int           // answers owed on one connection; further commands wait to be read
+	Unread       int           // bytes of answers that a client leaves unread, before it is given up
+	Descriptors  float64       // share of the descriptors
+	Held         float64       // share of the memory limit that open commands may take
+	AcceptAhead  int           // connections that may be taken before the loop has counted them
+}
+
+// Nodes are the values of connections to nodes.
+type Nodes struct {
+	Connections int           // to one node, open or being made
+	Rest        time.Duration // a connection is used again only after it has stood for so long in step
+	IdlePart    int           // an idle connection is retired after one part in so many of the nodes' idle limit
+	Answer      time.Duration // an answer that has begun has so long to its end
+	Descriptors float64       // share of the descriptors
+}
+
+// Stop are the values of the gateway's end.
+type Stop struct {
+	Accept   time.Duration // new connections are taken for so long after SIGTERM
+	LastCall time.Duration // for a connection that came in as the listener closed
+	Longest  time.Duration // after that, what is still owed is failed; never less than clients wait
+}
+
+// Block declares the block gateway. The defaults are the values that hold without an operator file.
+func Block() *operator.Block {
+	return &operator.Block{
+		Name: "gateway", Doc: "The gateway's core: connections of clients and to nodes, and its end.",
+		Blocks: []*operator.Block{clients(), nodes(), stop()},
+		Check:  check,
+	}
+}
+
+func clients() *operator.Block {
+	return &operator.Block{
+		Name: "clients", Doc: "Connections of clients.",
+		Keys: []operator.Key{
+			{Name: "first-command", Kind: operator.Duration, Default: "2s", Least: "100ms", Most: "1m", Sense: operator.MoreIsLooser,
+				Doc: "Time to a connection's first command, and to the end of a command that has begun. More lets silent connections hold descriptors for longer."},
+			{Name: "idle", Kind: operator.Duration, Default: "5s", Least: "100ms", Most: "1h", Sense: operator.MoreIsLooser,
+				Doc: "Time between commands with nothing open, after which a connection is closed."},
+			{Name: "write", Kind: operator.Duration, Default: "2s", Least: "100ms", Most: "1m", Sense: operator.MoreIsLooser,
+				Doc: "A client that takes nothing of its answers for so long is given up."},
+			{Name: "fault", Kind: operator.Duration, Default: "1s", Least: "10ms", Most: "1m", Sense: operator.MoreIsLooser,
+				Doc: "A connection that sent what can't be read ends after this, whatever is open on it."},
+			{Name: "pipeline", Kind: operator.Count, Default: "64", Least: "1", Most: "1024", Sense: operator.MoreIsLooser,
+				Doc: "Answers owed on one connection; further commands wait to be read."},
+			{Name: "unread", Kind: operator.Size, Default: "1MiB", Least: "128KiB", Most: "64MiB", Sense: operator.MoreIsLooser,
+				Doc: "Bytes of answers that a client may leave unread before it is given up."},
+			{Name: "descriptors", Kind: operator.Share, Default: "50%", Least: "10%", Most: "90%", Sense: operator.MoreIsLooser,
+				Doc: "Share of the descriptors for clients' connections; over it the one quiet for longest is closed."},
+			{Name: "held", Kind: operator.Share, Default: "25%", Least: "1%", Most: "50%", Sense: operator.MoreIsLooser,
+				Doc: "Share of the memory limit that open commands may take; over it new requests are refused."},
+			{Name: "accept-ahead", Kind: operator.Count, Default: "16", Least: "1", Most: "1024", Takes: operator.AtRestart,
+				Doc: "Connections taken before the core has counted them."},
+		},
+	}
+}
+
+func nodes() *operator.Block {
+	return &operator.Block{
+		Name: "nodes", Doc: "Connections to nodes.",
+		Keys: []operator.Key{
+			{Name: "connections", Kind: operator.Count, Default: "64", Least: "1", Most: "1024", Sense: operator.MoreIsLooser,
+				Doc: "Connections to one node, open or being made; an attempt over it is not made and not held against the node."},
+			{Name: "rest", Kind: operator.Duration, Default: "10ms", Least: "10ms", Most: "1s",
+				Doc: "A connection is used again only after it has stood for so long with nothing unread: a late second answer must not pass for the next one's."},
+			{Name: "idle-part", Kind: operator.Count, Default: "3", Least: "2", Most: "100",
+				Doc: "An idle connection is retired after one part in so many of the nodes' own idle limit, so that no request is written to one that is being closed."},
+			{Name: "answer", Kind: operator.Duration, Default: "250ms", Least: "10ms", Most: "1m", Sense: operator.MoreIsLooser,
+				Doc: "Time from the first byte of a node's answer to its last."},
+			{Name: "descriptors", Kind: operator.Share, Default: "50%", Least: "10%", Most: "90%", Sense: operator.MoreIsLooser,
+				Doc: "Share of the descriptors for connections to nodes."},
+		},
+	}
+}
+
+func stop() *operator.Block {
+	return &operator.Block{
+		Name: "stop", Doc: "The end of the gateway, at SIGTERM.",
+		Keys: []operator.Key{
+			{Name: "accept", Kind: operator.Duration, Default: "500ms", Least: "0s", Most: "1m",
+				Doc: "New connections are taken for so long: fronts go on sending them for a while."},
+			{Name: "last-call", Kind: operator.Duration, Default: "200ms", Least: "10ms", Most: "1m",
+				Doc: "A connection that came in as the listener closed has so long to its command."},
+			{Name: "longest", Kind: operator.Duration, Default: "10s", Least: "1s", Most: "10m",
+				Doc: "What is owed after that is failed. It is never less than the longest wait of a client."},
+		},
+	}
+}
+
+func check(s *operator.Section) (out []operator.Problem) {
+	a, b := s.One("clients").Share("descriptors"), s.One("nodes").Share("descriptors")
+	if a+b > 1 {
+		key := "nodes.descriptors"
+		if b == 0.5 {
+			key = "clients.descriptors"
+		}
+		out = append(out, operator.Problem{Key: key,
+			Msg: fmt.Sprintf("the shares of descriptors of clients (%.4g%%) and nodes (%.4g%%) come to more than 100%%", 100*a, 100*b)})
+	}
+	stop := s.One("stop")
+	if need := stop.Duration("accept") + stop.Duration("last-call"); stop.Duration("longest") <= need {
+		out = append(out, operator.Problem{Key: "stop.longest",
+			Msg: fmt.Sprintf("longest (%v) must be more than accept and last-call together (%v)", stop.Duration("longest"), need)})
+	}
+	return out
+}
+
+// From reads a checked configuration.
+func From(c *operator.Config) Tuning {
+	g := c.One("gateway")
+	clients, nodes, stop := g.One("clients"), g.One("nodes"), g.One("stop")
+	return Tuning{
+		Clients: Clients{FirstCommand: clients.Duration("first-command"), Idle: clients.Duration("idle"),
+			Write: clients.Duration("write"), Fault: clients.Duration("fault"), Pipeline: clients.Count("pipeline"),
+			Unread: int(clients.Size("unread")), Descriptors: clients.Share("descriptors"), Held: clients.Share("held"),
+			AcceptAhead: clients.Count("accept-ahead")},
+		Nodes: Nodes{Connections: nodes.Count("connections"), Rest: nodes.Duration("rest"), IdlePart: nodes.Count("idle-part"),
+			Answer: nodes.Duration("answer"), Descriptors: nodes.Share("descriptors")},
+		Stop: Stop{Accept: stop.Duration("accept"), LastCall: stop.Duration("last-call"), Longest: stop.Duration("longest")},
+	}
+}
+
+// Default is what holds without an operator file.
+func Default() Tuning {
+	s, err := operator.NewSchema(Block())
+	if err != nil {
+		panic(err) // a slip in this file, which its test finds
+	}
+	return From(s.Defaults())
+}
