Add sloectl: check, fmt, diff, show, doc and a demonstration on loopback

Operators need the checks of the daemon without the daemon, and a newcomer a first command that shows the whole thing. sloectl shares the daemon's schema; demo starts discovery, eight working nodes and three real daemon processes, plays seeded traffic with a flooding clinic and a node that drains and comes back cold, and holds the five rules to the nodes' own tallies.

--- /dev/null
+++ b/cmd/sloectl/files.go
@@ -0,0 +1,269 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"sloepick/internal/blocks"
+	"sloepick/internal/operator"
+	"sloepick/internal/sloe"
+)
+
+// flags reads a verb's flags and wants between least and most files behind them. It reports false when the call
+// can't be used, which it has told.
+func flags(fs *flag.FlagSet, args []string, errs io.Writer, least, most int) bool {
+	fs.SetOutput(errs)
+	if fs.Parse(args) != nil {
+		return false // Parse has told it
+	}
+	if n := fs.NArg(); n < least || n > most {
+		fmt.Fprintf(errs, "sloectl %s: got %d files, want %d", fs.Name(), n, least)
+		if most > least {
+			fmt.Fprint(errs, " or more")
+		}
+		fmt.Fprintln(errs)
+		return false
+	}
+	return true
+}
+
+func newFlags(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
+
+// place is a position for programs.
+type place struct {
+	File string `json:"file"`
+	Line int    `json:"line"`
+	Col  int    `json:"col"`
+}
+
+// problem is a sloe.Diag for programs.
+type problem struct {
+	place
+	Severity string       `json:"severity"` // error, warning
+	Message  string       `json:"message"`
+	Notes    []problemTip `json:"notes,omitempty"`
+}
+
+type problemTip struct {
+	place
+	Message string `json:"message"`
+}
+
+func placeOf(p sloe.Pos) place {
+	if !p.Valid() {
+		return place{}
+	}
+	return place{p.Src.Name, p.Line(), p.Col()}
+}
+
+func problems(diags sloe.Diags) []problem {
+	all := []problem{}
+	for _, d := range diags {
+		p := problem{place: placeOf(d.Pos), Severity: "error", Message: d.Msg}
+		if d.Warning {
+			p.Severity = "warning"
+		}
+		for _, n := range d.Notes {
+			p.Notes = append(p.Notes, problemTip{placeOf(n.Pos), n.Msg})
+		}
+		all = append(all, p)
+	}
+	return all
+}
+
+func writeJSON(out io.Writer, v any) error {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
+	return enc.Encode(v)
+}
+
+// check reports all that is wrong with a file: 0 nothing, 1 an error, 2 it can't be read.
+func check(args []string, out, errs io.Writer) int {
+	fs := newFlags("check")
+	asJSON := fs.Bool("json", false, "print the problems as JSON, on standard output")
+	if !flags(fs, args, errs, 1, 1) {
+		return exitTrouble
+	}
+	_, diags, err := blocks.Schema().Load(fs.Arg(0))
+	if err != nil {
+		fmt.Fprintln(errs, "sloectl:", err)
+		return exitTrouble
+	}
+	if *asJSON {
+		err = writeJSON(out, problems(diags))
+	} else {
+		_, err = io.WriteString(errs, diags.Error())
+	}
+	if err != nil {
+		return exitTrouble
+	}
+	if diags.Failed() {
+		return exitNo
+	}
+	return exitOK
+}
+
+// load is a checked file, or nil with the exit code: what is wrong was told.
+func load(name string, errs io.Writer) (*operator.Config, int) {
+	c, diags, err := blocks.Schema().Load(name)
+	if err != nil {
+		fmt.Fprintln(errs, "sloectl:", err)
+		return nil, exitTrouble
+	}
+	io.WriteString(errs, diags.Error())
+	if c == nil {
+		return nil, exitTrouble
+	}
+	return c, exitOK
+}
+
+func diff(args []string, out, errs io.Writer) int {
+	fs := newFlags("diff")
+	asJSON := fs.Bool("json", false, "print the changes as JSON")
+	if !flags(fs, args, errs, 2, 2) {
+		return exitTrouble
+	}
+	old, code := load(fs.Arg(0), errs)
+	now, code2 := load(fs.Arg(1), errs)
+	if old == nil || now == nil {
+		return max(code, code2)
+	}
+	changes := operator.Diff(old, now)
+	if *asJSON {
+		if changes == nil {
+			changes = []operator.Change{}
+		}
+		if writeJSON(out, changes) != nil {
+			return exitTrouble
+		}
+	} else {
+		for _, c := range changes {
+			fmt.Fprintln(out, c)
+		}
+	}
+	if len(changes) > 0 {
+		return exitNo
+	}
+	return exitOK
+}
+
+func show(args []string, out, errs io.Writer) int {
+	fs := newFlags("show")
+	if !flags(fs, args, errs, 1, 1) {
+		return exitTrouble
+	}
+	c, code := load(fs.Arg(0), errs)
+	if c != nil {
+		io.WriteString(out, c.Show())
+	}
+	return code
+}
+
+func doc(args []string, out, errs io.Writer) int {
+	if !flags(newFlags("doc"), args, errs, 0, 0) {
+		return exitTrouble
+	}
+	io.WriteString(out, blocks.Schema().Doc())
+	return exitOK
+}
+
+// format brings files into the usual form, each by itself: includes are not followed. A file that does not parse
+// stays as it is.
+func format(args []string, out, errs io.Writer) int {
+	fs := newFlags("fmt")
+	list := fs.Bool("l", false, "list files that would change, and exit 1 if there are any")
+	write := fs.Bool("w", false, "write files in place of printing them")
+	if !flags(fs, args, errs, 1, 1<<20) {
+		return exitTrouble
+	}
+	code := exitOK
+	for _, name := range fs.Args() {
+		before, after, err := formatted(name, errs)
+		if err != nil {
+			fmt.Fprintln(errs, "sloectl:", err)
+			code = exitTrouble
+			continue
+		}
+		if after == nil {
+			code = max(code, exitNo)
+			continue
+		}
+		changed := !bytes.Equal(before, after)
+		if *list && changed {
+			fmt.Fprintln(out, name)
+			code = max(code, exitNo)
+		}
+		if *write && changed {
+			if err := replace(name, after); err != nil {
+				fmt.Fprintln(errs, "sloectl:", err)
+				code = exitTrouble
+			}
+		}
+		if !*list && !*write {
+			out.Write(after)
+		}
+	}
+	return code
+}
+
+// formatted is a file before and after. after is nil if the file does not parse, which was told.
+func formatted(name string, errs io.Writer) (before, after []byte, err error) {
+	info, err := os.Stat(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	if !info.Mode().IsRegular() || info.Size() > sloe.FileMost {
+		return nil, nil, fmt.Errorf("%s is no ordinary file of %d KiB at most", name, sloe.FileMost>>10)
+	}
+	if before, err = os.ReadFile(name); err != nil {
+		return nil, nil, err
+	}
+	f, diags := sloe.Parse(&sloe.Source{Name: name, Text: before})
+	io.WriteString(errs, diags.Error())
+	if diags.Failed() {
+		return before, nil, nil
+	}
+	return before, append([]byte{}, sloe.Format(f)...), nil
+}
+
+// replace writes a file as a whole or not at all: a daemon that reloads meets the former or the new one.
+func replace(name string, text []byte) (err error) {
+	real, err := filepath.EvalSymlinks(name)
+	if err != nil {
+		return err
+	}
+	info, err := os.Stat(real)
+	if err != nil {
+		return err
+	}
+	tmp, err := os.CreateTemp(filepath.Dir(real), ".sloectl-*")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			err = errors.Join(err, ignoreMissing(os.Remove(tmp.Name())))
+		}
+	}()
+	_, err = tmp.Write(text)
+	err = errors.Join(err, tmp.Chmod(info.Mode().Perm()), tmp.Sync(), tmp.Close())
+	if err != nil {
+		return err
+	}
+	return os.Rename(tmp.Name(), real)
+}
+
+func ignoreMissing(err error) error {
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/stand/audit.go
@@ -0,0 +1,174 @@
+package stand
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Rules are the figures that an audit goes by.
+type Rules struct {
+	AnswerSlack  time.Duration // past a client's patience, and for what was on its way as an answer went out
+	DrainGrace   time.Duration
+	ColdFrom     float64
+	ColdFor      time.Duration
+	FallMultiple float64
+	FallWindow   time.Duration
+	Cores        int // of a node
+	Ceilings     map[string]Ceiling
+}
+
+// Ceiling is a plan's hard ceiling: a store of Depth units that fills at Rate a second and may go Slack below nothing.
+type Ceiling struct{ Rate, Depth, Slack float64 }
+
+// Verdict says whether a rule was kept.
+type Verdict struct {
+	Rule   string
+	Broken []string // the first few cases
+	Count  int      // of all cases
+	Held   int      // what was looked at
+}
+
+const casesMost = 5 // cases that a verdict words
+
+func (v *Verdict) breach(format string, args ...any) {
+	v.Count++
+	if len(v.Broken) < casesMost {
+		v.Broken = append(v.Broken, fmt.Sprintf(format, args...))
+	}
+}
+
+// Drain is when discovery told that a node drains.
+type Drain struct {
+	Node     string
+	Told     time.Time
+	Restored time.Time // zero: never
+}
+
+// Audit holds what clients and nodes saw to the five rules.
+func Audit(rules Rules, ends []Ended, tally *Tally, drains []Drain) []Verdict {
+	tally.mu.Lock()
+	defer tally.mu.Unlock()
+	return []Verdict{answers(rules, ends, tally), effects(ends, tally), drained(rules, tally, drains),
+		cold(rules, tally), ceilings(rules, ends, tally)}
+}
+
+func answers(rules Rules, ends []Ended, tally *Tally) Verdict {
+	v := Verdict{Rule: "one answer in time, nothing after it", Held: len(ends)}
+	over := map[string]time.Time{}
+	for _, e := range ends {
+		over[e.ID] = e.At
+		if e.Kind == WasLost {
+			v.breach("%s got no answer: %s", e.ID, e.Detail)
+		} else if late := e.At.Sub(e.Sent) - e.Patience; late > rules.AnswerSlack {
+			v.breach("%s was answered %v late", e.ID, late)
+		}
+	}
+	for _, a := range tally.arrivals {
+		if at, ok := over[a.ID]; ok && a.At.After(at.Add(rules.AnswerSlack)) {
+			v.breach("%s came to %s %v after its answer", a.ID, a.Node, a.At.Sub(at))
+		}
+	}
+	return v
+}
+
+func effects(ends []Ended, tally *Tally) Verdict {
+	v := Verdict{Rule: "no effect twice, no refusal of what ran"}
+	keyed := map[string]bool{}
+	for _, a := range tally.arrivals {
+		keyed[a.ID] = a.Key != ""
+	}
+	for id, n := range tally.effects {
+		if keyed[id] {
+			v.Held++
+			if n > 1 {
+				v.breach("%s took effect %d times", id, n)
+			}
+		}
+	}
+	for _, e := range ends {
+		if keyed[e.ID] && e.Kind == WasRefused && tally.effects[e.ID] > 0 {
+			v.breach("%s was refused and took effect", e.ID)
+		}
+	}
+	return v
+}
+
+func drained(rules Rules, tally *Tally, drains []Drain) Verdict {
+	v := Verdict{Rule: "nothing new to a draining node", Held: len(drains)}
+	for _, d := range drains {
+		for _, a := range tally.arrivals {
+			if a.Node == d.Node && a.At.After(d.Told.Add(rules.DrainGrace)) && (d.Restored.IsZero() || a.At.Before(d.Restored)) {
+				v.breach("%s came to %s %v after its drain was told", a.ID, a.Node, a.At.Sub(d.Told))
+			}
+		}
+	}
+	return v
+}
+
+// cold holds what came to a node that had just started to a budget: in any window no more work than the multiple of
+// what it could do in it, and one request more.
+func cold(rules Rules, tally *Tally) Verdict {
+	v := Verdict{Rule: "no cold node pushed over"}
+	cfg := NodeConfig{ColdFrom: rules.ColdFrom, ColdFor: rules.ColdFor}
+	for node, starts := range tally.started {
+		for _, start := range starts {
+			v.Held++
+			var in []Arrival
+			for _, a := range tally.arrivals {
+				if since := a.At.Sub(start); a.Node == node && since >= 0 && since < rules.ColdFor {
+					in = append(in, a)
+				}
+			}
+			slices.SortFunc(in, func(a, b Arrival) int { return a.At.Compare(b.At) })
+			for i, first := range in {
+				sent, largest := time.Duration(0), time.Duration(0)
+				for _, a := range in[i:] {
+					if a.At.Sub(first.At) > rules.FallWindow {
+						break
+					}
+					sent, largest = sent+a.Work, max(largest, a.Work)
+				}
+				can := rules.FallMultiple * float64(rules.Cores) * cfg.speed(first.At.Sub(start)) * float64(rules.FallWindow)
+				if float64(sent-largest) > can {
+					v.breach("%s got %v of work in %v, %v after its start", node, sent, rules.FallWindow, first.At.Sub(start))
+				}
+			}
+		}
+	}
+	return v
+}
+
+func ceilings(rules Rules, ends []Ended, tally *Tally) Verdict {
+	v := Verdict{Rule: "ceilings kept over all gateways"}
+	plans, seen := map[string]string{}, map[string]bool{}
+	for _, e := range ends {
+		plans[e.Customer] = e.Plan
+	}
+	type store struct {
+		level float64
+		at    time.Time
+	}
+	stores := map[string]*store{}
+	sorted := slices.Clone(tally.arrivals)
+	slices.SortFunc(sorted, func(a, b Arrival) int { return a.At.Compare(b.At) })
+	for _, a := range sorted {
+		c, ok := rules.Ceilings[plans[a.Customer]]
+		if !ok || seen[a.ID] {
+			continue
+		}
+		seen[a.ID] = true
+		s := stores[a.Customer]
+		if s == nil {
+			s = &store{c.Depth, a.At}
+			stores[a.Customer] = s
+		}
+		s.level = min(c.Depth, s.level+c.Rate*a.At.Sub(s.at).Seconds()) - a.Units
+		s.at = a.At
+		if s.level < -c.Slack {
+			v.breach("customer %s is %.1f units below its ceiling's store", a.Customer, -s.level)
+		}
+	}
+	v.Held = len(stores)
+	return v
+}
--- /dev/null
+++ b/internal/stand/node.go
@@ -0,0 +1,288 @@
+package stand
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+// Cell is a group of nodes that drop each other's repeats of a keyed request for a time.
+type Cell struct {
+	ID     int
+	Window time.Duration
+
+	mu   sync.Mutex
+	seen map[string]time.Time
+}
+
+// first reports whether a key is new to the cell, and remembers it.
+func (c *Cell) first(key string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.seen == nil {
+		c.seen = map[string]time.Time{}
+	}
+	if at, ok := c.seen[key]; ok && now.Sub(at) < c.Window {
+		return false
+	}
+	c.seen[key] = now
+	return true
+}
+
+// Arrival is a request that came whole to a node.
+type Arrival struct {
+	Node, ID, Key, Customer, Class string
+	Units                          float64
+	Work                           time.Duration
+	At                             time.Time
+}
+
+// Tally is the nodes' common record: what came to them, and what took effect how often.
+type Tally struct {
+	mu       sync.Mutex
+	arrivals []Arrival
+	effects  map[string]int // by id
+	started  map[string][]time.Time
+}
+
+// NewTally makes an empty one.
+func NewTally() *Tally { return &Tally{effects: map[string]int{}, started: map[string][]time.Time{}} }
+
+func (t *Tally) arrived(a Arrival) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.arrivals = append(t.arrivals, a)
+}
+
+func (t *Tally) effect(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.effects[id]++
+}
+
+// NodeConfig describes a working node.
+type NodeConfig struct {
+	ID       string
+	Cell     *Cell
+	Cores    int // requests worked on at once
+	Queue    int // requests that wait; over it a request is turned away
+	Work     map[string]time.Duration
+	ColdFrom float64 // share of its speed right after a restart
+	ColdFor  time.Duration
+	Tally    *Tally
+}
+
+// Node is a booking node that works: it takes its time, drops repeats of keys, turns away what is too much, and stops
+// work whose connection has ended.
+type Node struct {
+	cfg   NodeConfig
+	slots chan struct{}
+	addr  string
+
+	mu       sync.Mutex
+	l        *listener
+	waiting  int
+	draining bool
+	started  time.Time // zero: long ago
+	counts   Counts
+}
+
+// Counts are a node's own figures.
+type Counts struct{ Came, Ran, Away, Dropped int }
+
+// NewNode starts a node that has been warm for long.
+func NewNode(cfg NodeConfig) (*Node, error) {
+	n := &Node{cfg: cfg, slots: make(chan struct{}, cfg.Cores)}
+	l, err := listen(n.serve)
+	if err != nil {
+		return nil, err
+	}
+	n.l, n.addr = l, l.Addr()
+	return n, nil
+}
+
+// Addr is where it listens, also after a restart.
+func (n *Node) Addr() string { return n.addr }
+
+// ID is its name in discovery's list.
+func (n *Node) ID() string { return n.cfg.ID }
+
+// Counts are its figures since it was made.
+func (n *Node) Counts() Counts {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.counts
+}
+
+// Close ends the node and its connections.
+func (n *Node) Close() {
+	n.mu.Lock()
+	l := n.l
+	n.mu.Unlock()
+	l.Close()
+}
+
+// Drain lets it turn away what is new.
+func (n *Node) Drain() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.draining = true
+}
+
+// Restart ends the process that the node stands for and starts it again at the same address, cold. It returns when
+// that was.
+func (n *Node) Restart() (time.Time, error) {
+	n.Close()
+	l, err := listenAt(n.addr, n.serve)
+	if err != nil {
+		return time.Time{}, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.l, n.draining, n.started = l, false, time.Now()
+	t := n.cfg.Tally
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.started[n.cfg.ID] = append(t.started[n.cfg.ID], n.started)
+	return n.started, nil
+}
+
+// speed is the share of its full speed that a node has some time after a start.
+func (c *NodeConfig) speed(since time.Duration) float64 {
+	if c.ColdFor <= 0 || since >= c.ColdFor {
+		return 1
+	}
+	return c.ColdFrom + (1-c.ColdFrom)*float64(since)/float64(c.ColdFor)
+}
+
+func (n *Node) serve(conn net.Conn) {
+	commands, gone := make(chan [][]byte), make(chan struct{})
+	go func() {
+		defer close(gone)
+		rd := redcon.NewReader(conn)
+		for {
+			cmd, err := rd.ReadCommand()
+			if err != nil {
+				return
+			}
+			select {
+			case commands <- cmd.Args:
+			case <-time.After(time.Minute): // nobody takes it: the other side is at its end
+				return
+			}
+		}
+	}()
+	for {
+		select {
+		case args := <-commands:
+			if _, err := conn.Write([]byte(n.answer(args, gone))); err != nil {
+				return
+			}
+		case <-gone:
+			return
+		}
+	}
+}
+
+// answer does what a command asks for, however long that takes, or gives it up when its connection has gone.
+func (n *Node) answer(args [][]byte, gone <-chan struct{}) string {
+	a, ok := n.read(args)
+	if !ok {
+		return "-SYNTAX\r\n"
+	}
+	n.cfg.Tally.arrived(a)
+	if !n.enter() {
+		return "-BUSY\r\n"
+	}
+	defer n.leave()
+	select {
+	case n.slots <- struct{}{}:
+		defer func() { <-n.slots }()
+	case <-gone:
+		return ""
+	}
+	n.mu.Lock()
+	started := n.started
+	n.mu.Unlock()
+	took := time.Duration(float64(a.Work) / n.cfg.speed(time.Since(started)))
+	if a.Key != "" && !n.cfg.Cell.first(a.Key, a.At) { // a repeat: the answer is known
+		n.count(func(c *Counts) { c.Dropped++ })
+		took = 0
+	} else {
+		n.cfg.Tally.effect(a.ID)
+		n.count(func(c *Counts) { c.Ran++ })
+	}
+	t := time.NewTimer(took)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-gone:
+		return ""
+	}
+	return Served(Value(a.ID))
+}
+
+// Value is what a node answers to a request, so that a client can tell its own.
+func Value(id string) string { return "slots of " + id }
+
+func (n *Node) count(f func(*Counts)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f(&n.counts)
+}
+
+func (n *Node) enter() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.counts.Came++
+	if n.draining || n.waiting >= n.cfg.Cores+n.cfg.Queue {
+		n.counts.Away++
+		return false
+	}
+	n.waiting++
+	return true
+}
+
+func (n *Node) leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.waiting--
+}
+
+// read takes a request in the published form: Q.ASK or Q.DO, customer, id, list, and a body.
+func (n *Node) read(args [][]byte) (Arrival, bool) {
+	if len(args) < 4 || string(args[0]) != "Q.ASK" && string(args[0]) != "Q.DO" {
+		return Arrival{}, false
+	}
+	a := Arrival{Node: n.cfg.ID, Customer: string(args[1]), ID: string(args[2]), Units: 1, At: time.Now()}
+	for _, pair := range strings.Split(string(args[3]), ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		switch name {
+		case "c":
+			a.Class = value
+		case "k":
+			a.Key = value
+		case "units":
+			v, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				return a, false
+			}
+			a.Units = v
+		}
+	}
+	a.Work = n.cfg.Work[a.Class]
+	return a, a.Work > 0
+}
+
+func listenAt(addr string, serve func(net.Conn)) (*listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	return newListener(ln, serve), nil
+}
--- /dev/null
+++ b/internal/stand/platform.go
@@ -0,0 +1,90 @@
+package stand
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Plan is a plan as a platform's settings tell it.
+type Plan struct {
+	Name        string
+	Rate, Burst float64
+	Ceiling     Ceiling // a zero Rate: none
+	Price       float64
+}
+
+// Platform is what gateways are told at their start: who they are and the settings of the site.
+type Platform struct {
+	Plans   []Plan
+	Classes []ClassMix
+	Rules   Rules
+	Window  time.Duration // for which a cell drops repeats
+	Zone    string
+	Sockets int
+	Memory  int // MB
+}
+
+// Place is where one gateway of a platform listens.
+type Place struct{ Listen, Peer string }
+
+// Places finds free loopback ports for so many gateways. They are free as they are looked up; a start that finds one
+// taken says so.
+func Places(n int) ([]Place, error) {
+	var all []Place
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("looking for a port: %w", err)
+		}
+		defer ln.Close()
+		udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("looking for a port: %w", err)
+		}
+		defer udp.Close()
+		all = append(all, Place{ln.Addr().String(), udp.LocalAddr().String()})
+	}
+	return all, nil
+}
+
+// Config is the configuration file of the gateway of that number.
+func (p *Platform) Config(rank int, places []Place, discovery string, seed uint64, known List) ([]byte, error) {
+	var peers []string
+	for _, q := range places {
+		peers = append(peers, q.Peer)
+	}
+	return json.Marshal(map[string]any{
+		"name": fmt.Sprintf("n%d", rank), "listen": places[rank].Listen, "discovery": discovery,
+		"seed":   fmt.Sprintf("%016x", seed+uint64(rank)),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": p.Memory, "sockets": p.Sockets},
+		"known":  known, "peer_listen": places[rank].Peer, "peers": peers, "settings": p.settings(rank, len(places)),
+	})
+}
+
+func (p *Platform) settings(rank, gateways int) map[string]any {
+	var classes, plans []map[string]any
+	units := 1.0
+	for _, c := range p.Classes {
+		k := map[string]any{"Name": c.Name, "Effect": "safe", "AimNs": c.Patience / 3, "GiveUpNs": c.Patience, "Importance": 1}
+		if c.Keyed {
+			k["Effect"], k["Group"], k["WindowNs"], k["Importance"] = "keyed", "cell", p.Window, 3
+		}
+		classes = append(classes, k)
+		units = max(units, c.Units)
+	}
+	for _, t := range p.Plans {
+		plans = append(plans, map[string]any{"Name": t.Name, "Refill": t.Rate, "MostAtOnce": t.Burst, "Pays": t.Price,
+			"NeverOverRate": t.Ceiling.Rate, "NeverOverDepth": t.Ceiling.Depth, "HardSlack": t.Ceiling.Slack, "ExcessCost": 0.6})
+	}
+	return map[string]any{
+		"Instances": gateways, "Rank": rank, "Zone": p.Zone, "Classes": classes, "TiersOfService": plans,
+		"Extra": map[string]any{"PeerIntake": 40, "UnitsTop": units},
+		"Limits": map[string]any{"SendCap": 5, "MayCancel": true, "ParallelTries": true, "Peers": true, "RetryAfter": true,
+			"MaxRetryAfterNs": time.Second, "ConnectTimeoutNs": 250 * time.Millisecond, "ConnIdleNs": 15 * time.Second, "OpenCap": 20000},
+		"Safety": map[string]any{"AnswerSlackNs": 50 * time.Millisecond, "DrainGraceNs": p.Rules.DrainGrace, "ColdFrom": p.Rules.ColdFrom,
+			"ColdNs": p.Rules.ColdFor, "FallMultiple": p.Rules.FallMultiple, "FallNs": p.Rules.FallWindow},
+		"Prices": map[string]any{"CrossZone": 0.01, "Waste": 0.03, "Probe": 0.01, "Peer": 0.02, "LateFail": 0.05},
+	}
+}
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -29,11 +29,9 @@
 	wg    sync.WaitGroup
 }
 
-func listen(serve func(net.Conn)) (*listener, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("listening: %w", err)
-	}
+func listen(serve func(net.Conn)) (*listener, error) { return listenAt("127.0.0.1:0", serve) }
+
+func newListener(ln net.Listener, serve func(net.Conn)) *listener {
 	l := &listener{ln: ln, conns: map[net.Conn]struct{}{}}
 	l.wg.Go(func() {
 		for {
@@ -49,7 +47,7 @@
 			}
 		}
 	})
-	return l, nil
+	return l
 }
 
 func (l *listener) add(conn net.Conn) bool {
