--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -34,7 +34,8 @@
 	order   []*defined
 	later   map[string]*sloe.Define // all that the tree defines, also behind the place of use
 	refs    []ref
-	open    bool // something could not be read: what seems to be missing or unused may stand there
+	open    bool            // something could not be read: what seems to be unused may be used there
+	unsure  map[string]bool // types of blocks of which one may be missing because of an error that was told
 }
 
 type defined struct {
@@ -51,7 +52,7 @@
 
 // Check gives a tree its meaning. The Config is whole only if the tree had no errors and none comes back.
 func (s *Schema) Check(tree *sloe.Tree) (*Config, sloe.Diags) {
-	c := &checker{schema: s, defines: map[string]*defined{}, later: map[string]*sloe.Define{}, open: tree.Unbalanced}
+	c := &checker{schema: s, defines: map[string]*defined{}, later: map[string]*sloe.Define{}, unsure: map[string]bool{}}
 	cfg := s.Defaults()
 	cfg.Sources = tree.Sources()
 	if tree.Unbalanced {
@@ -138,12 +139,14 @@
 			w = *d.def.Value
 			w.Origin, w.RefPos = d.def, v.Pos
 		} else if later := c.later[v.Text]; later != nil {
+			c.open = true
 			c.errorf(v.Pos, "$%s is used before it is defined", clip(v.Text)).Notes = []sloe.Note{{Pos: later.Name.Pos, Msg: "defined here"}}
 		} else {
 			var names []string
 			for n := range c.later {
 				names = append(names, n)
 			}
+			c.open = true
 			c.errorf(v.Pos, "$%s is not defined%s", clip(v.Text), near(v.Text, names, "$"))
 		}
 		return &w
@@ -167,10 +170,15 @@
 		}
 		c.errorf(e.Type.Pos, "unknown block %q%s%s", clip(e.Type.Name), where, near(e.Type.Name, names, ""))
 		c.open = true // what it holds is not looked at, so it may be what uses something
+		c.unsure[nearest(e.Type.Name, names)] = true
 		return sections
 	}
 	name, label := b.Name, ""
 	switch {
+	case b.Labels && (e.Label == nil || e.Label.Name == ""):
+		c.unsure[b.Name] = true
+	}
+	switch {
 	case b.Labels && e.Label == nil:
 		c.errorf(e.Type.Pos, "the block %q needs a name: %s NAME { ... }", b.Name, b.Name)
 	case !b.Labels && e.Label != nil:
@@ -376,7 +384,8 @@
 			names = append(names, s.Label)
 		}
 		used[r.key.To+" "+r.to] = true
-		if !slices.Contains(names, r.to) {
+		if !slices.Contains(names, r.to) && !c.unsure[r.key.To] {
+			c.open = true
 			c.errorf(r.pos, "there is no block %s %s%s", r.key.To, sloe.Quote(clip(r.to)), near(r.to, names, ""))
 		}
 	}
@@ -430,6 +439,13 @@
 
 // near names the word that was probably meant: one that is at most two slips away, and less than half of it.
 func near(got string, words []string, prefix string) string {
+	if best := nearest(got, words); best != "" {
+		return fmt.Sprintf("; did you mean %q?", prefix+best)
+	}
+	return ""
+}
+
+func nearest(got string, words []string) string {
 	best, least := "", 3
 	sorted := slices.Clone(words)
 	slices.Sort(sorted)
@@ -438,10 +454,7 @@
 			best, least = w, d
 		}
 	}
-	if best == "" {
-		return ""
-	}
-	return fmt.Sprintf("; did you mean %q?", prefix+best)
+	return best
 }
 
 const slipsMost = 64 // bytes of words that are compared
--- a/internal/sloe/lex.go
+++ b/internal/sloe/lex.go
@@ -39,6 +39,7 @@
 	at     int
 	report func(off int, format string, args ...any)
 	saidCR bool
+	muted  bool // what is skipped over has nothing more to say
 }
 
 func isLetter(c byte) bool { return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' }
@@ -143,7 +144,9 @@
 }
 
 func (l *lexer) bad(from int, format string, args ...any) token {
-	l.report(from, format, args...)
+	if !l.muted {
+		l.report(from, format, args...)
+	}
 	return token{tBad, from, string(l.src.Text[from:l.at])}
 }
 
@@ -165,7 +168,9 @@
 func (l *lexer) stringToken(from int) token {
 	text := string(l.src.Text[from:l.at])
 	if _, at, err := unquote(text); err != nil {
-		l.report(from+at, "%v", err)
+		if !l.muted {
+			l.report(from+at, "%v", err)
+		}
 		return token{tBad, from, text}
 	}
 	return l.token(tString, from, text)
--- a/internal/sloe/load.go
+++ b/internal/sloe/load.go
@@ -202,7 +202,7 @@
 	var pe *fs.PathError
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
-		return "there is no such file"
+		return "there is no such file or folder"
 	case errors.As(err, &pe) && strings.Contains(pe.Err.Error(), "escapes"):
 		return "the include leads out of the folder " + l.shown
 	case errors.As(err, &pe):
--- a/internal/sloe/parse.go
+++ b/internal/sloe/parse.go
@@ -176,6 +176,8 @@
 // skip goes to the end of the line, and past the blocks that begin on it: what is in them belongs to what could
 // not be read.
 func (p *parser) skip() {
+	p.lex.muted = true
+	defer func() { p.lex.muted = false }()
 	for depth := 0; p.tok.kind != tEOF; p.next() {
 		switch p.tok.kind {
 		case tOpen:
@@ -385,14 +387,14 @@
 			v.Kind = Broken
 			return v
 		}
-		if !p.item(v, lead, depth) {
+		if !p.item(v, lead, depth, open.off) {
 			return v
 		}
 	}
 }
 
 // item reads one value of a list and the comma behind it.
-func (p *parser) item(v *Value, lead []string, depth int) bool {
+func (p *parser) item(v *Value, lead []string, depth, open int) bool {
 	item := p.value(depth + 1)
 	item.Lead = lead
 	v.Items = append(v.Items, item)
@@ -413,9 +415,15 @@
 	v.Spread = v.Spread || p.tok.kind == tNewline
 	v.Tail = p.lead()
 	if p.tok.kind != tListClose {
-		if item.Kind != Broken {
-			p.errorf(p.tok.off, "found %s where ',' or ']' should stand", p.tok)
+		switch p.tok.kind {
+		case tBad: // told
+		case tClose, tEOF, tEquals:
+			p.errorf(open, "the list is not closed: a ']' is missing")
 			p.cut = p.tok.kind == tEOF
+		default:
+			if item.Kind != Broken {
+				p.errorf(p.tok.off, "found %s where ',' or ']' should stand", p.tok)
+			}
 		}
 		v.Kind = Broken
 		p.skip()
--- a/internal/stand/crowd.go
+++ b/internal/stand/crowd.go
@@ -28,6 +28,7 @@
 	Share    float64
 	Units    float64
 	Patience time.Duration
+	Work     time.Duration // of a node
 	Keyed    bool
 }
 
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// socketSlack is how much longer a rule's time limit is on sockets.
+const socketSlack = 50 * time.Millisecond
+
 // Plan is a plan as a platform's settings tell it.
 type Plan struct {
 	Name        string
@@ -83,7 +86,7 @@
 		"Extra": map[string]any{"PeerIntake": 40, "UnitsTop": units},
 		"Limits": map[string]any{"SendCap": 5, "MayCancel": true, "ParallelTries": true, "Peers": true, "RetryAfter": true,
 			"MaxRetryAfterNs": time.Second, "ConnectTimeoutNs": 250 * time.Millisecond, "ConnIdleNs": 15 * time.Second, "OpenCap": 20000},
-		"Safety": map[string]any{"AnswerSlackNs": 50 * time.Millisecond, "DrainGraceNs": p.Rules.DrainGrace, "ColdFrom": p.Rules.ColdFrom,
+		"Safety": map[string]any{"AnswerSlackNs": 50 * time.Millisecond, "DrainGraceNs": p.Rules.DrainGrace - socketSlack, "ColdFrom": p.Rules.ColdFrom,
 			"ColdNs": p.Rules.ColdFor, "FallMultiple": p.Rules.FallMultiple, "FallNs": p.Rules.FallWindow},
 		"Prices": map[string]any{"CrossZone": 0.01, "Waste": 0.03, "Probe": 0.01, "Peer": 0.02, "LateFail": 0.05},
 	}
