Test the reload under load, the verbs, the bounds of files and the audit

The daemon's reload is now told as taken only once the gateway's loop has it (a PING right behind the log line could still meet the former value), an empty file is an error and a file that changes between two readings is not taken: both were found by a test that rewrites the file in a loop, which met it empty twice and fell back to all defaults. Ten reloads a second under load lose no request and break no rule.

--- /dev/null
+++ b/cmd/sloectl/main_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"sloepick/internal/stand"
+)
+
+// TestMain lets the test's own binary stand for the program, as the demonstration starts itself as gateways.
+func TestMain(m *testing.M) {
+	if os.Getenv(selfEnv) != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// call runs a verb.
+func call(args ...string) (code int, out, errs string) {
+	var o, e bytes.Buffer
+	code = run(args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
+const shipped = "../../deploy/example/sloepick.sloe"
+
+// The verbs' exit codes and where they write, on good files, bad ones and none.
+func TestVerbs(t *testing.T) {
+	dir := t.TempDir()
+	bad := write(t, filepath.Join(dir, "bad.sloe"), "lgo { }\n")
+	warned := write(t, filepath.Join(dir, "warned.sloe"), "define x = 1s\n")
+	other := write(t, filepath.Join(dir, "other.sloe"), "log { level = warn }\n")
+	none := filepath.Join(dir, "none.sloe")
+	for _, tc := range []struct {
+		args      string
+		code      int
+		out, errs string // a piece, or "" for nothing at all
+	}{
+		{"check " + shipped, 0, "", ""},
+		{"check " + bad, 1, "", "bad.sloe:1:1: unknown block \"lgo\"; did you mean \"log\"?\n    lgo { }\n    ^\n"},
+		{"check " + warned, 0, "", "warned.sloe:1:8: warning: the definition"},
+		{"check " + none, 2, "", "sloectl: reading the configuration"},
+		{"check", 2, "", "sloectl check: got 0 files, want 1"},
+		{"check --jsn x", 2, "", "flag provided but not defined"},
+		{"check --json " + shipped, 0, "[]\n", ""},
+		{"fmt " + shipped, 0, "log {\n", ""},
+		{"fmt -l " + shipped, 0, "", ""},
+		{"fmt " + bad, 0, "lgo {\n}\n", ""},
+		{"fmt -l " + bad + " " + warned, 1, "bad.sloe\n", ""},
+		{"fmt " + none, 2, "", "none.sloe"},
+		{"fmt " + dir, 2, "", "no ordinary file"},
+		{"diff " + shipped + " " + shipped, 0, "", ""},
+		{"diff " + shipped + " " + other, 1, "log: level info -> warn; at reload\n", ""},
+		{"diff --json " + shipped + " " + shipped, 0, "[]\n", ""},
+		{"diff " + shipped + " " + bad, 2, "", "unknown block"},
+		{"diff " + none + " " + shipped, 2, "", "none.sloe"},
+		{"diff " + shipped, 2, "", "got 1 files, want 2"},
+		{"show " + shipped, 0, "sloepick.sloe:12\n", ""},
+		{"show " + bad, 2, "", "unknown block"},
+		{"doc", 0, "## `gateway.clients`", ""},
+		{"doc x", 2, "", "got 1 files"},
+		{"demo --seconds 1", 2, "", "--seconds is 10 to 600"},
+		{"help", 0, "usage: sloectl VERB", ""},
+		{"chekc", 2, "", "unknown verb \"chekc\""},
+		{"", 2, "", "usage: sloectl VERB"},
+	} {
+		code, out, errs := call(strings.Fields(tc.args)...)
+		if code != tc.code || !strings.Contains(out, tc.out) || !strings.Contains(errs, tc.errs) || (tc.out == "") != (out == "") || (tc.errs == "") != (errs == "") {
+			t.Errorf("%s: code %d, out %q, errs %q", tc.args, code, out, errs)
+		}
+	}
+}
+
+// What is for programs can be read by them.
+func TestJSON(t *testing.T) {
+	dir := t.TempDir()
+	a := write(t, filepath.Join(dir, "a.sloe"), "log { level = info }\nlog { level = \"<b>\" }\n")
+	_, out, _ := call("check", "--json", a)
+	var got []struct {
+		File, Severity, Message string
+		Line, Col               int
+		Notes                   []struct {
+			Line    int
+			Message string
+		}
+	}
+	if err := json.Unmarshal([]byte(out), &got); err != nil || len(got) != 1 || got[0].File != a || got[0].Line != 2 || got[0].Col != 1 ||
+		got[0].Severity != "error" || len(got[0].Notes) != 1 || got[0].Notes[0].Line != 1 {
+		t.Errorf("%v\n%s", err, out)
+	}
+	b, c := write(t, filepath.Join(dir, "b.sloe"), "gateway { clients { idle = 4s } }\n"), write(t, filepath.Join(dir, "c.sloe"), "#\n")
+	_, out, _ = call("diff", "--json", b, c)
+	var changes []map[string]string
+	if err := json.Unmarshal([]byte(out), &changes); err != nil || len(changes) != 1 || changes[0]["key"] != "idle" || changes[0]["old"] != "4s" ||
+		changes[0]["new"] != "5s" || changes[0]["direction"] != "looser by 25%" || changes[0]["takes"] != "at reload" {
+		t.Errorf("%v\n%s", err, out)
+	}
+}
+
+// fmt -w writes a file as a whole, through a link and with its mode, and leaves one that does not parse alone.
+func TestFormatWrites(t *testing.T) {
+	dir := t.TempDir()
+	file := write(t, filepath.Join(dir, "a.sloe"), "log{level=info}")
+	if err := os.Symlink("a.sloe", filepath.Join(dir, "link.sloe")); err != nil {
+		t.Fatal(err)
+	}
+	if code, _, errs := call("fmt", "-w", file); code != 1 || !strings.Contains(errs, "no line end") {
+		t.Errorf("a file that is cut short: %d, %s", code, errs)
+	}
+	write(t, file, "log{level=info}\n")
+	if err := os.Chmod(file, 0o640); err != nil {
+		t.Fatal(err)
+	}
+	code, out, errs := call("fmt", "-l", "-w", filepath.Join(dir, "link.sloe"))
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	info, err := os.Lstat(filepath.Join(dir, "link.sloe"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	mode, err := os.Stat(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if code != 1 || !strings.HasSuffix(out, "link.sloe\n") || errs != "" || string(text) != "log {\n    level = info\n}\n" ||
+		info.Mode()&os.ModeSymlink == 0 || mode.Mode().Perm() != 0o640 {
+		t.Errorf("%d %q %q, the file is %q %v, the link %v", code, out, errs, text, mode.Mode(), info.Mode())
+	}
+	left, err := filepath.Glob(filepath.Join(dir, ".sloectl-*"))
+	if err != nil || len(left) > 0 {
+		t.Errorf("left behind: %v, %v", left, err)
+	}
+}
+
+// The demonstration starts real gateways, breaks no rule, and leaves nothing behind.
+func TestDemo(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	code, out, errs := call("demo", "--plain", "--seconds", "10", "--seed", "3")
+	if code != 0 || errs != "" || strings.Count(out, "kept    ") != 5 || strings.Contains(out, "BROKEN") {
+		t.Errorf("code %d\n%s%s", code, out, errs)
+	}
+	if left, err := os.ReadDir(os.Getenv("TMPDIR")); err != nil || len(left) > 0 {
+		t.Errorf("left behind: %v, %v", left, err)
+	}
+}
+
+// A rule that broke is told and is the verdict.
+func TestDemoTellsWhatBroke(t *testing.T) {
+	site, err := stand.NewSite(stand.Clinic(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer site.Close()
+	d := &demonstration{site: site, ends: []stand.Ended{{ID: "a", Plan: "plus", Kind: stand.WasLost, Detail: "gone"}}}
+	var out bytes.Buffer
+	if d.verdict(&out) || !strings.Contains(out.String(), "BROKEN  one answer in time") || !strings.Contains(out.String(), "a got no answer: gone") {
+		t.Errorf("got %s", out.String())
+	}
+}
+
+// An operators' file that can't be used ends the demonstration with what the gateway said.
+func TestDemoWithABadFile(t *testing.T) {
+	bad := write(t, filepath.Join(t.TempDir(), "bad.sloe"), "lgo { }\n")
+	code, _, errs := call("demo", "--plain", "--seconds", "10", "--operator", bad)
+	if code != 2 || !strings.Contains(errs, "unknown block") {
+		t.Errorf("code %d, %s", code, errs)
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,305 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sloepick/internal/stand"
+)
+
+// TestMain lets the test's own binary stand for the program, so that tests can start, reload and stop real processes.
+func TestMain(m *testing.M) {
+	if os.Getenv("DAEMON_TEST_MAIN") != "" {
+		os.Exit(Main(os.Args[1:], os.Getenv, os.Stderr))
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// rig is a site with one gateway's process.
+type rig struct {
+	t        *testing.T
+	ctx      context.Context
+	site     *stand.Site
+	place    stand.Place
+	platform string // the platform's file
+	operator string // the operators' file, or ""
+	gateway  *stand.Process
+}
+
+func newRig(t *testing.T, operator string) *rig {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	site, err := stand.NewSite(stand.Clinic(), 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(site.Close)
+	places, err := stand.Places(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	r := &rig{t: t, ctx: ctx, site: site, place: places[0], platform: filepath.Join(dir, "platform.json")}
+	text, err := site.Platform.Config(0, places, site.Discovery.Addr().String(), 1, site.List())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.write(r.platform, string(text))
+	if operator != "" {
+		r.operator = filepath.Join(dir, "operator.sloe")
+		r.write(r.operator, operator)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "DAEMON_TEST_MAIN=1", "GW_CONFIG="+r.platform, "GW_OPERATOR="+r.operator, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=")
+	if r.gateway, err = stand.Start(cmd); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.gateway.Kill)
+	if err := r.gateway.Answers(ctx, r.place.Listen); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func (r *rig) write(file, text string) {
+	r.t.Helper()
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// replace puts a text in a file's place as a whole, as an operator should.
+func (r *rig) replace(file, text string) {
+	r.t.Helper()
+	r.write(file+".new", text)
+	if err := os.Rename(file+".new", file); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *rig) hup() {
+	r.t.Helper()
+	if err := r.gateway.Signal(syscall.SIGHUP); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// logs waits for the nth line of the log with a piece of text.
+func (r *rig) logs(piece string, n int) {
+	r.t.Helper()
+	if err := r.gateway.Log.Wait(r.ctx, piece, n); err != nil {
+		r.t.Fatalf("%v; the log is\n%s", err, r.gateway.Log)
+	}
+}
+
+func (r *rig) dial() *stand.Client {
+	r.t.Helper()
+	c, err := stand.Dial(r.place.Listen)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(c.Close)
+	if err := c.Conn.SetDeadline(time.Now().Add(30 * time.Second)); err != nil {
+		r.t.Fatal(err)
+	}
+	r.ping(c)
+	return c
+}
+
+func (r *rig) ping(c *stand.Client) {
+	r.t.Helper()
+	if err := c.Send("PING"); err != nil {
+		r.t.Fatal(err)
+	}
+	if got, err := c.Read(); got != "+PONG" {
+		r.t.Fatalf("got %q, %v", got, err)
+	}
+}
+
+func idle(d string) string { return "gateway { clients { idle = " + d + " } }\n" }
+
+// A good change counts on a connection that is open already, from its next command on.
+func TestReloadTakesAGoodChange(t *testing.T) {
+	r := newRig(t, idle("1h"))
+	c := r.dial()
+	r.replace(r.operator, "log { level = debug }\ngateway { clients {\n idle = 100ms\n accept-ahead = 32\n} }\n")
+	r.hup()
+	r.logs("msg=reloaded", 1)
+	r.logs(`change="gateway.clients: idle 1h -> 100ms, tighter by 100%; at reload"`, 1)
+	r.logs(`msg="a change needs a restart" gateway=n0 change="gateway.clients: accept-ahead 16 -> 32; at restart"`, 1)
+	r.ping(c)
+	if got, err := c.Read(); err == nil || err.Error() != "EOF" {
+		t.Errorf("an idle connection got %q, %v", got, err)
+	}
+	if err := r.gateway.Stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+// One bad file, whichever, and everything stays: the values, the level and the address of discovery.
+func TestReloadIsAllOrNothing(t *testing.T) {
+	r := newRig(t, idle("1h"))
+	platform, err := os.ReadFile(r.platform)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := r.dial()
+	moved := strings.Replace(string(platform), r.site.Discovery.Addr().String(), "127.0.0.1:1", 1)
+	r.replace(r.platform, moved)
+	r.replace(r.operator, "log { level = error }\n"+idle("100"))
+	r.hup()
+	r.logs("reload failed", 1)
+	if log := r.gateway.Log.String(); !strings.Contains(log, "operator.sloe:2:") || strings.Contains(log, "msg=reloaded") || strings.Contains(log, "discovery is failing") {
+		t.Errorf("the log is\n%s", log)
+	}
+	r.replace(r.platform, "{")
+	r.replace(r.operator, idle("100ms"))
+	r.hup()
+	r.logs("reload failed", 2)
+	r.ping(c)
+	time.Sleep(300 * time.Millisecond) // three times what the files that were not taken say
+	r.ping(c)
+	r.replace(r.platform, string(platform))
+	r.hup()
+	r.logs("msg=reloaded", 1) // at a level that a bad file did not raise
+}
+
+// A file is not taken half, though the half would be a whole file by itself.
+func TestReloadWhileAnEditorWrites(t *testing.T) {
+	before := "log { level = debug }\n" + idle("1h")
+	r := newRig(t, before)
+	for i := range 5 {
+		half := "log { level = debug }\n"
+		r.write(r.operator, half)
+		r.hup()
+		time.Sleep(steadyFor / 3) // within the first two readings, or before or after them
+		r.write(r.operator, half+idle(fmt.Sprintf("%dm", i+1)))
+		r.hup()
+		r.logs(fmt.Sprintf("idle %s -> %dm", []string{"1h", "1m", "2m", "3m", "4m"}[i], i+1), 1)
+	}
+	if log := r.gateway.Log.String(); strings.Contains(log, "-> 5s") {
+		t.Errorf("half of a file was taken:\n%s", log)
+	}
+}
+
+// One that never stands still is not taken.
+func TestReloadOfAFileThatGoesOnChanging(t *testing.T) {
+	r := newRig(t, idle("1h"))
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+				os.WriteFile(r.operator, []byte(idle(fmt.Sprintf("%dms", 1000+i%1000))), 0o600)
+			}
+		}
+	}()
+	r.hup()
+	r.logs("reload failed", 1) // as it goes on changing, or was met empty
+	close(stop)
+	<-stopped
+	if log := r.gateway.Log.String(); strings.Contains(log, "msg=changed") {
+		t.Errorf("it was taken:\n%s", log)
+	}
+}
+
+// Ten reloads a second, of good files and bad ones, while clients ask: no request is lost and no rule broken.
+func TestReloadsUnderLoad(t *testing.T) {
+	r := newRig(t, idle("10s"))
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	ctx, cancel := context.WithTimeout(r.ctx, 4*time.Second)
+	defer cancel()
+	var mu sync.Mutex
+	var ends []stand.Ended
+	crowd := stand.Crowd{Gateways: []string{r.place.Listen}, Classes: r.site.Platform.Classes, Seed: seed, Each: func(e stand.Ended) {
+		mu.Lock()
+		defer mu.Unlock()
+		ends = append(ends, e)
+	}}
+	for i := range 10 {
+		crowd.Customers = append(crowd.Customers, stand.Customer{ID: fmt.Sprintf("%016x", i+1), Plan: "plus", Rate: 3, Spread: 1})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		crowd.Run(ctx)
+	}()
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	reloads, tick := 0, time.NewTicker(100*time.Millisecond)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			continue
+		}
+		r.replace(r.operator, []string{
+			idle("10s"), "gateway { clients { descriptors = 10% } }\n", "gateway { nodes { connections = 4 } }\n",
+			"gateway { clients { pipeline = 1 } }\n", "gateway { clients { idle = 1 } }\n", "gateway {\n"}[rnd.IntN(6)])
+		r.hup()
+		reloads++
+	}
+	<-done
+	log := r.gateway.Log.String()
+	taken, refused := strings.Count(log, "msg=reloaded"), strings.Count(log, "reload failed")
+	t.Logf("%d requests, %d reloads: %d taken, %d refused", len(ends), reloads, taken, refused)
+	if len(ends) < 20 || taken < 3 || refused < 1 {
+		t.Error("too little happened for a test")
+	}
+	for _, v := range r.site.Audit(ends) {
+		if v.Count > 0 {
+			t.Errorf("%s: %d against it: %v", v.Rule, v.Count, v.Broken)
+		}
+	}
+	if err := r.gateway.Stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+// What can't be used ends the start with its places and exit code 1.
+func TestBadStart(t *testing.T) {
+	dir := t.TempDir()
+	site := newRig(t, "")
+	bad := filepath.Join(dir, "bad.sloe")
+	site.write(bad, idle("5")+"lgo { }\n")
+	env := map[string]string{"GW_CONFIG": site.platform}
+	for _, tc := range []struct {
+		args []string
+		env  string
+		want []string
+	}{
+		{[]string{"-operator", bad}, "", []string{"sloepick: the operator file " + bad + " can't be used: errors=2, the first: ", bad + ":1:28: 5 needs a unit", bad + ":2:1: unknown block \"lgo\""}},
+		{nil, bad, []string{"bad.sloe:1:28"}},
+		{[]string{"-operator", filepath.Join(dir, "none")}, bad, []string{"sloepick: reading the configuration", "none"}},
+		{[]string{"-operater", "x"}, "", []string{"sloepick: flag provided but not defined"}},
+		{[]string{"x"}, "", []string{"sloepick: unexpected argument \"x\""}},
+	} {
+		env["GW_OPERATOR"] = tc.env
+		var errs bytes.Buffer
+		if code := Main(tc.args, func(name string) string { return env[name] }, &errs); code != 1 {
+			t.Errorf("%q: exit code %d", tc.args, code)
+		}
+		for _, w := range tc.want {
+			if !strings.Contains(errs.String(), w) {
+				t.Errorf("%q: said %q, want %q", tc.args, errs.String(), w)
+			}
+		}
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -25,8 +25,9 @@
 
 // Reload is what a running gateway takes anew.
 type Reload struct {
-	Discovery netip.AddrPort // where it is from then on; its whole list is asked for, moved or not
-	Tuning    *tuning.Tuning // nil: as it was
+	Discovery netip.AddrPort  // where it is from then on; its whole list is asked for, moved or not
+	Tuning    *tuning.Tuning  // nil: as it was
+	Taken     chan<- struct{} // closed, if not nil, when the values count
 }
 
 // Run serves until the context ends; then it takes what still comes for a moment, answers all that it has
@@ -81,9 +82,7 @@
 	for {
 		select {
 		case r := <-reloads:
-			if r.Tuning != nil {
-				post(retuned{r.Tuning})
-			}
+			post(retuned{r.Tuning, r.Taken})
 			select {
 			case moves <- r.Discovery:
 			case <-ctx.Done():
@@ -96,11 +95,19 @@
 }
 
 // retuned brings other values for what operators may set. Open connections go by them from their next command on.
-type retuned struct{ t *tuning.Tuning }
+type retuned struct {
+	t     *tuning.Tuning // nil: as it was
+	taken chan<- struct{}
+}
 
 func (r retuned) apply(l *loop) {
-	l.tune.Store(r.t)
-	l.pool.retune()
+	if r.t != nil {
+		l.tune.Store(r.t)
+		l.pool.retune()
+	}
+	if r.taken != nil {
+		close(r.taken)
+	}
 }
 
 // stop begins the end of the gateway.
--- a/internal/sloe/diag.go
+++ b/internal/sloe/diag.go
@@ -9,14 +9,17 @@
 	"slices"
 	"sort"
 	"strings"
+	"time"
 	"unicode/utf8"
 )
 
 // Source is a file as it was read.
 type Source struct {
-	Name  string // as shown to people
-	Text  []byte
-	lines []int // offsets at which lines begin; made when first asked for
+	Name string // as shown to people
+	Text []byte
+	// Modified is when the file was last written, as the file system tells.
+	Modified time.Time
+	lines    []int // offsets at which lines begin; made when first asked for
 }
 
 // Pos is a place in a source. The zero value is no place.
@@ -167,7 +170,9 @@
 	return b.String()
 }
 
-// SameText reports whether two readings brought the same files with the same texts.
-func SameText(a, b []*Source) bool {
-	return slices.EqualFunc(a, b, func(a, b *Source) bool { return a.Name == b.Name && bytes.Equal(a.Text, b.Text) })
+// Steady reports whether two readings brought the same files with the same texts, which nobody wrote in between.
+func Steady(a, b []*Source) bool {
+	return slices.EqualFunc(a, b, func(a, b *Source) bool {
+		return a.Name == b.Name && bytes.Equal(a.Text, b.Text) && a.Modified.Equal(b.Modified)
+	})
 }
--- a/internal/sloe/load.go
+++ b/internal/sloe/load.go
@@ -113,7 +113,7 @@
 func (l *loader) file(name, shown string, text []byte, info fs.FileInfo, by *step) {
 	here := &step{shown: shown, info: info, from: by}
 	l.seen = append(l.seen, here)
-	f, diags := Parse(&Source{Name: shown, Text: text})
+	f, diags := Parse(&Source{Name: shown, Text: text, Modified: info.ModTime()})
 	l.tree.Files = append(l.tree.Files, f)
 	l.tree.Unbalanced = l.tree.Unbalanced || f.Unbalanced
 	l.diags = append(l.diags, diags...)
--- a/internal/sloe/parse.go
+++ b/internal/sloe/parse.go
@@ -44,7 +44,10 @@
 	p.next()
 	p.file.Entries, p.file.Tail = p.entries(nil)
 	p.unclosed()
-	if t := src.Text; len(t) > 0 && t[len(t)-1] != '\n' && !p.file.Unbalanced {
+	if len(bytes.TrimSpace(src.Text)) == 0 { // as an editor leaves it for a moment
+		p.errorf(0, "the file is empty: it may be cut short (a comment makes it a file that says nothing)")
+	}
+	if t := src.Text; len(t) > 0 && t[len(t)-1] != '\n' && len(p.diags) == 0 {
 		p.errorf(len(t)-1, "the last line has no line end: the file may be cut short")
 	}
 	return p.file, p.diags
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/tidwall/redcon"
 )
@@ -190,6 +191,9 @@
 	default:
 	}
 	after, err := strconv.ParseUint(req.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.ParseUint(req.URL.Query().Get("wait_ms"), 10, 32) // none: it does not wait
+	over := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer over.Stop()
 	for {
 		d.mu.Lock()
 		version, body, changed := d.version, d.body, d.changed
@@ -200,6 +204,9 @@
 		}
 		select {
 		case <-changed:
+		case <-over.C:
+			json.NewEncoder(w).Encode(List{Version: after, Servers: []Entry{}})
+			return
 		case <-req.Context().Done():
 			return
 		}
--- /dev/null
+++ b/internal/stand/stand_test.go
@@ -0,0 +1,195 @@
+package stand
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// node starts a node of one core with room for one more request, whose work takes so long.
+func node(t *testing.T, work time.Duration) (*Node, *Tally) {
+	t.Helper()
+	tally := NewTally()
+	n, err := NewNode(NodeConfig{ID: "n", Cell: &Cell{Window: time.Hour}, Cores: 1, Queue: 1, Work: map[string]time.Duration{"book": work},
+		ColdFrom: 0.5, ColdFor: time.Hour, Tally: tally})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return n, tally
+}
+
+func ask(t *testing.T, addr, id, list string) *Client {
+	t.Helper()
+	c, err := Dial(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	if err := c.Conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Send("Q.DO", "00000000b4d65521", id, list); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// A repeat of a key takes no effect, and what is too much is turned away unseen.
+func TestNodeDropsRepeatsAndTurnsAway(t *testing.T) {
+	n, tally := node(t, time.Millisecond)
+	for range 2 {
+		if got, err := ask(t, n.Addr(), "a", "c=book,k=1,units=2").read3(); got != Value("a") || err != nil {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	}
+	if tally.effects["a"] != 1 || n.Counts() != (Counts{Came: 2, Ran: 1, Dropped: 1}) {
+		t.Errorf("%d effects, %+v", tally.effects["a"], n.Counts())
+	}
+	n.Drain()
+	if got, _ := ask(t, n.Addr(), "b", "c=book,k=2").Read(); got != "-BUSY" {
+		t.Errorf("draining, it said %q", got)
+	}
+	if got, _ := ask(t, n.Addr(), "b", "c=none,k=2").Read(); got != "-SYNTAX" {
+		t.Errorf("to an unknown class it said %q", got)
+	}
+	if _, err := n.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := ask(t, n.Addr(), "c", "c=book,k=3").read3(); got != Value("c") {
+		t.Errorf("after a restart: %q, %v", got, err)
+	}
+}
+
+// read3 is the value of a node's answer.
+func (c *Client) read3() (string, error) {
+	if line, err := c.Read(); err != nil || line != "*3" {
+		return line, err
+	}
+	got, err := c.Read()
+	return strings.TrimPrefix(got, "$"), err
+}
+
+// Work whose connection ends is given up, and its place is free again.
+func TestNodeGivesUpWhatNobodyWaitsFor(t *testing.T) {
+	n, _ := node(t, time.Hour)
+	one, two := ask(t, n.Addr(), "a", "c=book,k=1"), ask(t, n.Addr(), "b", "c=book,k=2")
+	for n.Counts().Came < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if got, _ := ask(t, n.Addr(), "c", "c=book,k=3").Read(); got != "-BUSY" {
+		t.Errorf("full, it said %q", got)
+	}
+	one.Close()
+	two.Close()
+	for n.waits() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (n *Node) waits() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.waiting
+}
+
+// Each rule that is broken is told, by itself; a day without a fault breaks none.
+func TestAuditFindsEachBreach(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	rules := Clinic().Rules
+	type day struct {
+		ends   []Ended
+		tally  *Tally
+		drains []Drain
+	}
+	for name, tc := range map[string]struct {
+		spoil func(*day)
+		rule  int // that breaks, or -1
+	}{
+		"a good day": {func(d *day) {}, -1},
+		"lost":       {func(d *day) { d.ends[0].Kind = WasLost }, 0},
+		"late":       {func(d *day) { d.ends[0].At = at(2000) }, 0},
+		"sent after the answer": {func(d *day) {
+			d.tally.arrivals = append(d.tally.arrivals, Arrival{Node: "n", ID: "a", Key: "k", At: at(500)})
+		}, 0},
+		"effect twice":      {func(d *day) { d.tally.effects["a"] = 2 }, 1},
+		"refused and ran":   {func(d *day) { d.ends[0].Kind = WasRefused }, 1},
+		"after the drain":   {func(d *day) { d.drains = []Drain{{Node: "n", Told: at(-1000)}} }, 2},
+		"drained, restored": {func(d *day) { d.drains = []Drain{{Node: "n", Told: at(-1000), Restored: at(-1)}} }, -1},
+		"in the grace":      {func(d *day) { d.drains = []Drain{{Node: "n", Told: at(-200)}} }, -1},
+		"pushed over": {func(d *day) {
+			d.tally.started["n"] = []time.Time{at(-1)}
+			d.tally.arrivals[0].Work = time.Second
+			for range 3 {
+				d.tally.arrivals = append(d.tally.arrivals, Arrival{Node: "n", ID: "b", Work: time.Second, At: at(1)})
+			}
+		}, 3},
+		"over the ceiling": {func(d *day) {
+			for i := range 36 {
+				d.tally.arrivals = append(d.tally.arrivals, Arrival{Node: "n", ID: string(rune('A' + i)), Customer: "c", Units: 1, At: at(1)})
+			}
+		}, 4},
+		"at the ceiling": {func(d *day) {
+			for range 100 { // further attempts draw nothing
+				d.tally.arrivals = append(d.tally.arrivals, Arrival{Node: "n", ID: "a", Key: "k", Customer: "c", Units: 1, At: at(1)})
+			}
+		}, -1},
+	} {
+		d := &day{ends: []Ended{{ID: "a", Customer: "c", Plan: "plus", Kind: WasServed, Sent: at(0), At: at(100), Patience: time.Second}},
+			tally: NewTally()}
+		d.tally.arrivals = []Arrival{{Node: "n", ID: "a", Key: "k", Customer: "c", Units: 1, Work: time.Millisecond, At: at(1)}}
+		d.tally.effects["a"] = 1
+		tc.spoil(d)
+		for i, v := range Audit(rules, d.ends, d.tally, d.drains) {
+			if (v.Count > 0) != (i == tc.rule) {
+				t.Errorf("%s: %q: %d against it: %v", name, v.Rule, v.Count, v.Broken)
+			}
+		}
+	}
+}
+
+// A crowd counts what is answered, refused, failed, lost or another request's, whoever answers.
+func TestCrowdTellsAnswersApart(t *testing.T) {
+	answers := []string{"", "-BUSY 5\r\n", "-ERR failed\r\n", "$1\r\nx\r\n", "cut"}
+	var mu sync.Mutex
+	n := 0
+	s, err := NewScripted(func(conn net.Conn, args []string) {
+		if args == nil {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		a := answers[n%len(answers)]
+		if a == "" {
+			v := Value(args[2])
+			a = "$" + strconv.Itoa(len(v)) + "\r\n" + v + "\r\n"
+		}
+		n++
+		if a == "cut" {
+			conn.Write([]byte("$5\r\nab"))
+			conn.Close()
+			return
+		}
+		conn.Write([]byte(a))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	var kinds [4]int
+	c := Crowd{Gateways: []string{s.Addr()}, Customers: []Customer{{ID: "0000000000000001", Plan: "p", Rate: 500, Spread: 1}},
+		Classes: []ClassMix{{Name: "look", Share: 1, Units: 1, Patience: 10 * time.Second}}, Seed: 1, Each: func(e Ended) {
+			mu.Lock()
+			defer mu.Unlock()
+			if kinds[e.Kind]++; kinds[WasServed] > 3 && kinds[WasRefused] > 3 && kinds[WasFailed] > 3 && kinds[WasLost] > 3 {
+				cancel()
+			}
+		}}
+	c.Run(ctx)
+}
