--- a/cmd/sloectl/files.go
+++ b/cmd/sloectl/files.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 
 	"sloepick/internal/blocks"
+	"sloepick/internal/gateway"
 	"sloepick/internal/operator"
 	"sloepick/internal/sloe"
 )
@@ -89,10 +90,16 @@
 func check(args []string, out, errs io.Writer) int {
 	fs := newFlags("check")
 	asJSON := fs.Bool("json", false, "print the problems as JSON, on standard output")
+	platform := fs.String("platform", "", "the platform's file: hold routes to its settings too")
 	if !flags(fs, args, errs, 1, 1) {
 		return exitTrouble
 	}
-	_, diags, err := blocks.Schema().Load(fs.Arg(0))
+	cfg, err := platformOf(*platform)
+	if err != nil {
+		fmt.Fprintln(errs, "sloectl:", err)
+		return exitTrouble
+	}
+	_, diags, err := blocks.Load(fs.Arg(0), cfg)
 	if err != nil {
 		fmt.Fprintln(errs, "sloectl:", err)
 		return exitTrouble
@@ -111,6 +118,20 @@
 	return exitOK
 }
 
+// platformOf reads a platform's file, or none.
+func platformOf(file string) (*gateway.Config, error) {
+	if file == "" {
+		return nil, nil
+	}
+	c, err := gateway.LoadConfig(func(name string) string {
+		if name == "GW_CONFIG" {
+			return file
+		}
+		return ""
+	})
+	return &c, err
+}
+
 // load is a checked file, or nil with the exit code: what is wrong was told.
 func load(name string, errs io.Writer) (*operator.Config, int) {
 	c, diags, err := blocks.Schema().Load(name)
--- a/cmd/sloectl/main.go
+++ b/cmd/sloectl/main.go
@@ -26,10 +26,11 @@
 
 func verbs() []verb {
 	return []verb{
-		{"check", "[--json] FILE", "report all that is wrong with a file and its includes", check},
+		{"check", "[--json] [--platform FILE] FILE", "report all that is wrong with a file and its includes", check},
 		{"fmt", "[-l] [-w] FILE...", "print files in the one usual form; -w writes them, -l lists those that would change", format},
 		{"diff", "[--json] OLD NEW", "tell what changes in meaning; exit 0 the same, 1 different, 2 trouble", diff},
 		{"show", "FILE", "print all values that hold, each with where it came from", show},
+		{"route", "explain --platform FILE [--class C] [--plan P] [--customer HEX] [--patience 5s] FILE", "tell which route a request gets, and why no other", routeVerb},
 		{"doc", "", "print the reference page of all blocks and keys", doc},
 		{"demo", "[--seconds N] [--seed N] [--plain] [--keep] [--operator FILE]", "play a day with three gateways, nodes and clients on loopback", demo},
 		{"daemon", "[-operator FILE]", "run the gateway in this process, as sloepick does", runDaemon},
--- a/decide/api.go
+++ b/decide/api.go
@@ -226,6 +226,44 @@
 // inflight, errors_per_s).
 type Report map[string]float64
 
+// Outcomes is a set of outcomes.
+type Outcomes uint16
+
+// OutcomeSet is the set of those outcomes.
+func OutcomeSet(all ...Outcome) (s Outcomes) {
+	for _, o := range all {
+		s |= 1 << o
+	}
+	return s
+}
+
+// Has reports whether an outcome is in the set.
+func (s Outcomes) Has(o Outcome) bool { return s&(1<<o) != 0 }
+
+// Bounds narrow what is decided for one request. They never widen what the settings and the rules allow. A Bounds is
+// shared by many requests and not changed while one of them is open.
+type Bounds struct {
+	Attempts int           // in all; 0: as many as the settings allow
+	Attempt  time.Duration // longest time for one; 0: to the request's end
+	Whole    time.Duration // longest time for all, from the request on; 0: to its deadline
+	Again    Outcomes      // those after which another may be made; Moot is never followed by one
+	// Wait is the time before the first further attempt; each further one waits WaitGrowth times as long, WaitMost at
+	// most, give or take the share Jitter. A second copy does not wait.
+	Wait, WaitMost     time.Duration
+	WaitGrowth, Jitter float64
+	Copies             bool          // a second copy may go out while an attempt is ...
+	CopyAfter          time.Duration // ... after this; 0: when the attempt is overdue by the module's own guess ...
+	CopyLeast          time.Duration // ... if so much time is left to it
+	Advice             time.Duration // told with a refusal for want of an answer; 0: the module's own
+	Budget             Budget        // nil: the module's own
+}
+
+// Budget bounds further attempts. It is called from within Handle only.
+type Budget interface {
+	First(now time.Duration, s *Server)     // a first attempt goes to the server
+	Take(now time.Duration, s *Server) bool // whether a further one may, which is then made
+}
+
 // Event is something that a gateway is told.
 type Event interface{ event() }
 
@@ -255,6 +293,7 @@
 		First, Spread             int // the customer's gateways: number of the first, and how many
 		Again                     bool
 		Write                     bool
+		Bounds                    *Bounds // nil: none beyond the settings
 	}
 	// AnswerStarted says that a streamed answer has begun.
 	AnswerStarted struct {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -86,6 +86,7 @@
 	flowLeast  = 0.08 // the flow that finds out that a jam is over
 	flowMost   = 2.2  // over 1 nothing is shed: room for chance
 	shedTo     = 0.8  // of the time left: an estimate over it is hopeless
+	copyFrom   = 0.1  // of the cap on open work, where second copies stop: before anything is shed
 
 	retryAdvice = 200 * time.Millisecond // where no bucket tells when to come back
 )
@@ -129,8 +130,14 @@
 	delete(g.timers, token)
 	if r := g.requests[ref.id]; ok && ref.n < 0 && r != nil && r.asking {
 		g.unheard(r, ref.due)
+	} else if ok && ref.why == forAgain {
+		g.waited(r)
 	} else if a := g.attempt(ref.id, ref.n); ok && a != nil && !a.over {
-		g.overdue(r, a)
+		if ref.why == forCopy {
+			g.copy(r, a)
+		} else {
+			g.overdue(r, a)
+		}
 	}
 }
 
@@ -368,7 +375,7 @@
 		}
 		g.asks[r.no] = r
 		g.tell(i, 'a', c, r.no, r.units)
-		g.wake(r.ID, -1, min(r.until, g.now+askLeast+time.Duration(askWaits*float64(g.trip))))
+		g.wake(r.ID, -1, min(r.until, g.now+askLeast+time.Duration(askWaits*float64(g.trip))), forOverdue)
 		return
 	}
 	r.asking = false
@@ -380,7 +387,7 @@
 // the answer may be among all that it finds now.
 func (g *Gateway) unheard(r *request, due time.Duration) {
 	if g.now-due > askLeast && g.now < r.until {
-		g.wake(r.ID, -1, min(r.until, g.now+askLeast))
+		g.wake(r.ID, -1, min(r.until, g.now+askLeast), forOverdue)
 		return
 	}
 	if r.asked%2 == 0 {
@@ -699,6 +706,9 @@
 	if k.LateWorth == 0 && !k.Stream && k.AimStretch == 0 {
 		r.until = min(e.Deadline, g.now+max(0, k.Aim-aimMargin))
 	}
+	if b := e.Bounds; b != nil && b.Whole > 0 {
+		r.until = min(r.until, g.now+b.Whole)
+	}
 	c := g.customer(shortKey(e.Customer), planNo)
 	if e.Spread > 0 && e.Spread <= g.cfg.Gateways && (c.spread != e.Spread || c.first != e.First) {
 		c.first, c.spread = e.First%g.cfg.Gateways, e.Spread
@@ -738,7 +748,11 @@
 	}
 	r.cust.store -= r.units
 	g.charge(r.cust, r.units)
-	g.budget = min(budgetMost, g.budget+budgetPart)
+	if b := r.Bounds; b != nil && b.Budget != nil {
+		b.Budget.First(g.now, &s.Server)
+	} else {
+		g.budget = min(budgetMost, g.budget+budgetPart)
+	}
 	g.send(r, s)
 }
 
@@ -781,9 +795,18 @@
 	s.out++
 	g.all.open++
 	s.sends.add(g.now, 1)
-	g.do(Send{r.ID, s.ID, max(r.until-g.now, time.Millisecond)})
-	if g.now+wait < r.until {
-		g.wake(r.ID, a.n, g.now+wait)
+	allow := max(r.until-g.now, time.Millisecond)
+	if b := r.Bounds; b != nil {
+		if b.Attempt > 0 {
+			allow = min(allow, b.Attempt)
+		}
+		if b.Copies && b.CopyAfter > 0 && b.CopyAfter < allow {
+			g.wake(r.ID, a.n, g.now+b.CopyAfter, forCopy)
+		}
+	}
+	g.do(Send{r.ID, s.ID, allow})
+	if wait < allow {
+		g.wake(r.ID, a.n, g.now+wait, forOverdue)
 	}
 }
 
@@ -795,6 +818,12 @@
 	if s.lastGood > a.at {
 		return
 	}
+	if b := r.Bounds; b != nil {
+		if b.Copies && b.CopyAfter == 0 {
+			g.copy(r, a)
+		}
+		return // its own time limit ends the attempt
+	}
 	if r.finished || r.streaming || g.budget < 1 || r.class.Effect == Unsafe {
 		return
 	}
@@ -807,20 +836,82 @@
 	g.again(r, s)
 }
 
-// again sends a further attempt if the rules, the budget and the time left allow one.
+// copy sends a second copy within a request's bounds. Copies are the first to stop where the servers are
+// full, and none goes out that has too little time to win.
+func (g *Gateway) copy(r *request, a *attempt) {
+	b := r.Bounds
+	if r.finished || r.streaming || r.class.Effect == Unsafe || r.waiting != nil || r.out != 1 {
+		return
+	}
+	if r.until-g.now >= b.CopyLeast && g.pressed() <= copyFrom {
+		g.again(r, a.server)
+	}
+}
+
+// again sends a further attempt if the rules, the budget and the time left allow one, at once or after the
+// wait that the request's bounds ask for. What waits has its place in the budget, so it waits for an attempt.
 func (g *Gateway) again(r *request, last *server) bool {
-	if g.budget < 1 || len(r.attempts) >= g.cfg.Limits.MaxAttempts || (r.out > 0 && !g.cfg.Limits.Parallel) {
+	b, most, wait := r.Bounds, g.cfg.Limits.MaxAttempts, time.Duration(0)
+	if b != nil {
+		if b.Attempts > 0 {
+			most = min(most, b.Attempts)
+		}
+		if r.out == 0 {
+			wait = g.waitFor(r)
+		}
+	}
+	own := b == nil || b.Budget == nil
+	if (own && g.budget < 1) || len(r.attempts) >= most || (r.out > 0 && !g.cfg.Limits.Parallel) {
 		return false
 	}
 	s, cost := g.choose(r, last)
-	if s == nil || cost > (r.until-g.now).Seconds() || (r.out > 0 && s == last) {
+	if s == nil || cost > (r.until-g.now-wait).Seconds() || (r.out > 0 && s == last) {
 		return false
 	}
-	g.budget--
+	if own {
+		g.budget--
+	} else if !b.Budget.Take(g.now, &s.Server) {
+		return false
+	}
+	if wait > 0 {
+		r.waiting = s
+		g.wake(r.ID, len(r.attempts), g.now+wait, forAgain)
+		return true
+	}
 	g.send(r, s)
 	return true
 }
 
+// waitFor is how long a request waits before its next attempt.
+func (g *Gateway) waitFor(r *request) time.Duration {
+	b := r.Bounds
+	wait := float64(b.Wait) * math.Pow(max(1, b.WaitGrowth), float64(len(r.attempts)-1))
+	if b.WaitMost > 0 {
+		wait = min(wait, float64(b.WaitMost))
+	}
+	return time.Duration(wait * (1 + b.Jitter*(2*g.rng.Float64()-1)))
+}
+
+// waited ends a wait. The server that was chosen may be cold or drained by now; then another may do that the
+// rules allow.
+func (g *Gateway) waited(r *request) {
+	if r == nil || r.finished || r.waiting == nil {
+		return
+	}
+	s, b := r.waiting, r.Bounds
+	r.waiting = nil
+	if g.servers[s.ID] != s || !g.usable(s, r) {
+		if s, _ = g.choose(r, nil); s != nil && b.Budget != nil && !b.Budget.Take(g.now, &s.Server) {
+			s = nil
+		}
+	}
+	if s == nil || g.now >= r.until {
+		g.giveUp(r)
+		return
+	}
+	g.send(r, s)
+}
+
 func (g *Gateway) ended(e AttemptEnded) {
 	r, a := g.requests[e.ID], g.attempt(e.ID, e.Attempt)
 	if a == nil || a.over {
@@ -853,7 +944,8 @@
 		r.cust.store += r.units
 		r.more = -r.units
 	}
-	if r.out > 0 || (e.Outcome != Moot && g.again(r, a.server)) {
+	worth := e.Outcome != Moot && (r.Bounds == nil || r.Bounds.Again.Has(e.Outcome))
+	if r.out > 0 || r.waiting != nil || (worth && g.again(r, a.server)) {
 		return
 	}
 	g.giveUp(r)
@@ -911,7 +1003,11 @@
 	promise := r.class.Effect == Safe || !slices.ContainsFunc(r.attempts, mayRun) ||
 		(r.class.Effect == Keyed && r.class.Group == GroupAll)
 	if promise && r.out == 0 {
-		g.refuse(r.ID, retryAdvice)
+		advice := retryAdvice
+		if r.Bounds != nil && r.Bounds.Advice > 0 {
+			advice = r.Bounds.Advice
+		}
+		g.refuse(r.ID, advice)
 	} else {
 		g.do(Fail{r.ID})
 	}
@@ -923,7 +1019,7 @@
 	if r == nil {
 		return
 	}
-	r.finished, r.asking = true, false
+	r.finished, r.asking, r.waiting = true, false, nil
 	delete(g.asks, r.no)
 	for _, a := range r.attempts {
 		if !a.over && g.cfg.Limits.Cancel && !r.streaming {
--- a/decide/state.go
+++ b/decide/state.go
@@ -136,8 +136,18 @@
 	id  string
 	n   int
 	due time.Duration
+	why wakeFor
 }
 
+// wakeFor is what a timer of an attempt is about.
+type wakeFor int
+
+const (
+	forOverdue wakeFor = iota
+	forCopy
+	forAgain
+)
+
 type request struct {
 	Request
 	class               *class
@@ -152,6 +162,7 @@
 	askedAt             time.Duration
 	asking              bool
 	granted             int     // the home that let it in, or -1
+	waiting             *server // a further attempt is to go to it after a wait; nil: none
 	more                float64 // units used beyond those told at first
 }
 
@@ -185,8 +196,8 @@
 }
 
 // wake sets a timer for an attempt, or for a question that the number -1 stands for.
-func (g *Gateway) wake(id string, n int, at time.Duration) {
-	g.timers[g.nextToken] = attemptRef{id, n, at}
+func (g *Gateway) wake(id string, n int, at time.Duration, why wakeFor) {
+	g.timers[g.nextToken] = attemptRef{id, n, at, why}
 	g.do(SetTimer{at, g.nextToken})
 	g.nextToken++
 }
--- a/internal/blocks/blocks.go
+++ b/internal/blocks/blocks.go
@@ -4,19 +4,36 @@
 import (
 	"log/slog"
 
+	"sloepick/internal/gateway"
 	"sloepick/internal/operator"
+	"sloepick/internal/route"
+	"sloepick/internal/sloe"
 	"sloepick/internal/tuning"
 )
 
 // Schema is made of every subsystem's blocks.
 func Schema() *operator.Schema {
-	s, err := operator.NewSchema(tuning.Block(), logBlock())
+	s, err := operator.NewSchema(tuning.Block(), route.Block(), logBlock())
 	if err != nil {
 		panic(err) // a slip in a declaration, which the test of this package finds
 	}
 	return s
 }
 
+// Load reads an operators' file, checks it, and holds it to the settings of a platform, if one is given.
+func Load(file string, platform *gateway.Config) (*operator.Config, sloe.Diags, error) {
+	c, diags, err := Schema().Load(file)
+	if c == nil || platform == nil {
+		return c, diags, err
+	}
+	if more := platform.Prove(route.From(c)); len(more) > 0 {
+		diags = append(diags, more...)
+		diags.Sort(c.Sources)
+		return nil, diags, nil
+	}
+	return c, diags, nil
+}
+
 func logBlock() *operator.Block {
 	return &operator.Block{
 		Name: "log", Doc: "The daemon's log, on standard error.",
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"sloepick/internal/blocks"
 	"sloepick/internal/gateway"
 	"sloepick/internal/operator"
+	"sloepick/internal/route"
 	"sloepick/internal/sloe"
 	"sloepick/internal/tuning"
 )
@@ -57,12 +58,12 @@
 	}
 	var level slog.LevelVar
 	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: &level})).With("gateway", cfg.Name)
-	r := reloader{file: file, getenv: getenv, log: log, level: &level, reloads: make(chan gateway.Reload)}
+	r := reloader{file: file, cfg: &cfg, getenv: getenv, log: log, level: &level, reloads: make(chan gateway.Reload)}
 	if file != "" {
-		if r.now, err = load(file, log); err != nil {
+		if r.now, err = r.load(); err != nil {
 			return err
 		}
-		cfg.Tuning = tuning.From(r.now)
+		cfg.Tuning, cfg.Routes = tuning.From(r.now), route.From(r.now)
 		level.Set(blocks.Level(r.now))
 	}
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
@@ -112,24 +113,26 @@
 	return fmt.Sprintf("the operator file %s can't be used: errors=%d, the first: %s", e.file, n, first)
 }
 
-// load reads an operator file. Its warnings go to the log; its errors are told with their places.
-func load(file string, log *slog.Logger) (*operator.Config, error) {
-	c, diags, err := blocks.Schema().Load(file)
+// load reads the operator file and holds it to the platform's settings. Its warnings go to the log; its errors are
+// told with their places.
+func (r *reloader) load() (*operator.Config, error) {
+	c, diags, err := blocks.Load(r.file, r.cfg)
 	if err != nil {
 		return nil, err
 	}
 	if diags.Failed() {
-		return nil, &badFile{file, diags}
+		return nil, &badFile{r.file, diags}
 	}
 	for _, d := range diags {
-		log.Warn(d.Msg, "at", d.Pos.String())
+		r.log.Warn(d.Msg, "at", d.Pos.String())
 	}
 	return c, nil
 }
 
 // reloader reads both files again at each SIGHUP and passes on what changed.
 type reloader struct {
-	file    string // "": none
+	file    string          // "": none
+	cfg     *gateway.Config // as at the start: its settings hold until a restart
 	now     *operator.Config
 	getenv  func(string) string
 	log     *slog.Logger
@@ -172,7 +175,7 @@
 		return gateway.Reload{}, nil, err
 	}
 	t := tuning.From(c)
-	next.Tuning = &t
+	next.Tuning, next.Routes = &t, route.From(c)
 	return next, c, nil
 }
 
@@ -214,14 +217,14 @@
 
 // steady reads the operator file until it reads the same twice: an editor may be in the middle of writing it.
 func (r *reloader) steady(ctx context.Context) (*operator.Config, error) {
-	c, err := load(r.file, r.log)
+	c, err := r.load()
 	for end := time.Now().Add(steadyMost); time.Now().Before(end); {
 		select {
 		case <-time.After(steadyFor):
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		again, errAgain := load(r.file, r.log)
+		again, errAgain := r.load()
 		if same(c, again, err, errAgain) {
 			return again, errAgain
 		}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -11,7 +11,9 @@
 	"strconv"
 
 	"sloepick/decide"
+	"sloepick/internal/route"
 	"sloepick/internal/settings"
+	"sloepick/internal/sloe"
 	"sloepick/internal/tuning"
 )
 
@@ -28,7 +30,8 @@
 	Peers      []netip.AddrPort // by the gateways' numbers
 	Known      serverList       // as this gateway last had it
 	Settings   settings.Settings
-	Tuning     tuning.Tuning // the zero value: what holds without an operator file
+	Tuning     tuning.Tuning  // the zero value: what holds without an operator file
+	Routes     []*route.Route // proven by Prove; none: the module's own bounds hold
 }
 
 // fileConfig is the form of the configuration file.
@@ -144,6 +147,14 @@
 	return nil
 }
 
+// Prove holds routes to the settings of a platform and to this gateway's own margins.
+func (c *Config) Prove(routes []*route.Route) sloe.Diags {
+	if len(routes) == 0 {
+		return nil
+	}
+	return route.Prove(routes, &c.Settings.Decide, route.Margins{Answer: deadlineMargin, Window: deadlineMargin})
+}
+
 // class finds a class of the settings.
 func (c *Config) class(name string) *decide.Class {
 	for i := range c.Settings.Decide.Classes {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -13,6 +13,7 @@
 	"github.com/tidwall/redcon"
 
 	"sloepick/decide"
+	"sloepick/internal/route"
 	"sloepick/internal/tuning"
 )
 
@@ -121,7 +122,9 @@
 	cmd      *command
 	attempts []*attempt
 	overdue  *alarm
-	out      int // attempts that have not ended
+	out      int          // attempts that have not ended
+	routes   *route.Table // the table that its route stands in; nil: it has none
+	route    int
 	done     bool
 }
 
@@ -141,6 +144,7 @@
 	pool     pool
 	clients  map[*client]struct{}
 	tune     *atomic.Pointer[tuning.Tuning] // stored by the loop, read by the goroutines of connections too
+	routes   *route.Table                   // nil: none
 	ahead    chan struct{}                  // holds one for each connection that was taken and is not counted yet
 	held     int                            // bytes of the commands of open requests
 	closing  bool
@@ -162,6 +166,7 @@
 	l.tune.Store(&cfg.Tuning)
 	l.ahead = make(chan struct{}, cfg.Tuning.Clients.AcceptAhead)
 	l.pool = newPool(l, cfg)
+	l.reroute(cfg.Routes)
 	if err := l.startCore(); err != nil {
 		return nil, err
 	}
@@ -340,6 +345,15 @@
 	}
 	l.nextID++
 	r := &request{id: strconv.FormatUint(l.nextID, 36), client: c, slot: s, cmd: cmd}
+	if !l.enter(r) {
+		advice := r.routes.Route(r.route).Advice
+		if advice == 0 {
+			advice = l.cfg.Settings.Decide.Limits.MaxRetryAfter
+		}
+		c.reply(s, busy(advice))
+		l.flush(c)
+		return
+	}
 	s.req = r
 	l.requests[r.id] = r
 	l.ids[cmd.id()] = struct{}{}
@@ -348,9 +362,34 @@
 	r.overdue = l.at(deadline+overdueAfter, func() { l.overdue(r) })
 	ev := cmd.req
 	ev.ID, ev.Deadline = r.id, deadline
+	if r.routes != nil {
+		ev.Bounds = r.routes.Bounds(r.route, ev.Class, l.clock.now())
+	}
 	l.feed(ev)
 }
 
+// reroute takes routes in place of the former ones. Requests that are open keep what they began with.
+func (l *loop) reroute(routes []*route.Route) {
+	l.routes = nil
+	if len(routes) > 0 {
+		l.routes = route.NewTable(routes, &l.cfg.Settings.Decide)
+	}
+}
+
+// enter finds a request's route and takes it in. It reports false if the route has no room.
+func (l *loop) enter(r *request) bool {
+	if l.routes == nil {
+		return true
+	}
+	q := &r.cmd.req
+	n := l.routes.Match(route.Ask{Class: q.Class, Plan: q.Plan, Customer: q.Customer, Patience: r.cmd.wait})
+	if n < 0 {
+		return true
+	}
+	r.routes, r.route = l.routes, n
+	return l.routes.Begin(n)
+}
+
 // overdue fails a request that the module has not ended in time. The client must get its one answer before
 // it stops waiting, whatever became of the request.
 func (l *loop) overdue(r *request) {
@@ -385,6 +424,9 @@
 func (l *loop) end(r *request) {
 	r.done = true
 	r.slot.req = nil
+	if r.routes != nil {
+		r.routes.End(r.route)
+	}
 	l.held -= r.cmd.size()
 	delete(l.ids, r.cmd.id())
 	l.unset(r.overdue)
@@ -435,6 +477,10 @@
 
 // served passes a value on and ends its attempt.
 func (l *loop) served(a *attempt, value []byte) {
+	if r := a.req; r.routes != nil {
+		now := l.clock.now()
+		r.routes.Answered(r.route, r.cmd.req.Class, now-a.at, now)
+	}
 	l.answer(a.req, value)
 	l.ended(a, decide.OK)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"sloepick/internal/route"
 	"sloepick/internal/tuning"
 )
 
@@ -27,6 +28,7 @@
 type Reload struct {
 	Discovery netip.AddrPort  // where it is from then on; its whole list is asked for, moved or not
 	Tuning    *tuning.Tuning  // nil: as it was
+	Routes    []*route.Route  // with Tuning: proven by Config.Prove
 	Taken     chan<- struct{} // closed, if not nil, when the values count
 }
 
@@ -82,7 +84,7 @@
 	for {
 		select {
 		case r := <-reloads:
-			post(retuned{r.Tuning, r.Taken})
+			post(retuned{r.Tuning, r.Routes, r.Taken})
 			select {
 			case moves <- r.Discovery:
 			case <-ctx.Done():
@@ -96,14 +98,16 @@
 
 // retuned brings other values for what operators may set. Open connections go by them from their next command on.
 type retuned struct {
-	t     *tuning.Tuning // nil: as it was
-	taken chan<- struct{}
+	t      *tuning.Tuning // nil: as it was
+	routes []*route.Route
+	taken  chan<- struct{}
 }
 
 func (r retuned) apply(l *loop) {
 	if r.t != nil {
 		l.tune.Store(r.t)
 		l.pool.retune()
+		l.reroute(r.routes)
 	}
 	if r.taken != nil {
 		close(r.taken)
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -445,6 +445,7 @@
 	return ""
 }
 
+// nearest is the word that was probably meant, or "".
 func nearest(got string, words []string) string {
 	best, least := "", 3
 	sorted := slices.Clone(words)
@@ -459,6 +460,9 @@
 
 const slipsMost = 64 // bytes of words that are compared
 
+// Near is a hint at the word that was probably meant, or "".
+func Near(got string, words []string) string { return near(got, words, "") }
+
 // slips counts the letters to insert, drop, change or swap between two words (optimal string alignment).
 func slips(a, b string) int {
 	a, b = strings.ToLower(a), strings.ToLower(b)
--- a/internal/operator/values.go
+++ b/internal/operator/values.go
@@ -143,6 +143,29 @@
 	panic("operator: no key " + key + " is declared in " + s.Block.Name)
 }
 
+// Has reports whether a key has a value: always, but for an optional one that was left out.
+func (s *Section) Has(key string) bool { return s.Value(key).set }
+
+// Present reports whether the block stands in a file.
+func (s *Section) Present() bool { return s.pos.Valid() }
+
+// Pos is where a key was set, such as copy.after for one of a block within, or else the block. With "" it is the
+// block itself. It is no place where the block was left out.
+func (s *Section) Pos(key string) sloe.Pos {
+	if key == "" {
+		return s.pos
+	}
+	for _, sub := range s.subs {
+		if sub.Block.Name == key {
+			return sub.pos
+		}
+	}
+	if at := s.placeOf(key); at.Valid() {
+		return at
+	}
+	return s.pos
+}
+
 func (s *Section) only(key string, kind Kind) item {
 	v := s.Value(key)
 	if v.Key.Kind != kind || v.Key.List || !v.set {
