--- a/internal/route/prove.go
+++ b/internal/route/prove.go
@@ -168,8 +168,12 @@
 		if each := p.each(r, r.Attempts, whole); each > 0 {
 			mend += fmt.Sprintf(", or attempt at most %v", each)
 		}
-		p.errorf(r.at("attempts"), "route %s, class %s: %d attempts of %v with waits of %v come to %v, and the whole is %v; %s", r.Name, k.Name,
-			r.Attempts, r.Attempt, r.waits(r.Attempts), need, whole, mend)
+		each := ""
+		if r.Attempt > 0 {
+			each = fmt.Sprintf(" of %v", r.Attempt)
+		}
+		p.errorf(r.at("attempts"), "route %s, class %s: %d attempts%s with waits of %v come to %v, and the whole is %v; %s", r.Name, k.Name,
+			r.Attempts, each, r.waits(r.Attempts), need, whole, mend)
 		return false
 	}
 	return true
@@ -198,6 +202,9 @@
 	case r.Attempt > 0 && c.After >= r.Attempt:
 		p.errorf(r.at("copy.after"), "route %s, class %s: a second copy after %v never goes out, as an attempt ends after %v; after below %v",
 			r.Name, k.Name, c.After, r.Attempt, r.Attempt)
+	case c.Least > whole:
+		p.errorf(r.at("copy.least"), "route %s, class %s: a second copy needs %v to win, and the whole is %v; least at most %v", r.Name, k.Name,
+			c.Least, whole, max(0, whole-c.After))
 	case c.After+c.Least > whole:
 		p.errorf(r.at("copy.after"), "route %s, class %s: a second copy after %v has %v to win, and least is %v; after at most %v", r.Name, k.Name,
 			c.After, whole-c.After, c.Least, max(0, whole-c.Least))
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,280 @@
+package route
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"sloepick/decide"
+)
+
+// slow finds a request's route by trying all, the most specific first.
+func slow(t *Table, a Ask) int {
+	for i, r := range t.routes {
+		if r.whyNot(a) == "" {
+			return i
+		}
+	}
+	return -1
+}
+
+// draw makes routes that match by everything, without care for ties.
+func drawMatching(r *rand.Rand, n int, cfg *decide.Config) (all []*Route) {
+	classes, plans := namesOf(cfg)
+	for i := range n {
+		t := &Route{Name: fmt.Sprintf("r%d", i)}
+		for _, c := range classes {
+			if r.IntN(3) == 0 {
+				t.Classes = append(t.Classes, c)
+			}
+		}
+		for _, p := range plans {
+			if r.IntN(3) == 0 {
+				t.Plans = append(t.Plans, p)
+			}
+		}
+		switch r.IntN(4) {
+		case 0:
+			for range 1 + r.IntN(3) {
+				t.Customers = append(t.Customers, r.Uint64N(64)<<56)
+			}
+		case 1:
+			t.Prefix = fmt.Sprintf("%016x", r.Uint64N(64)<<56)[:1+r.IntN(4)]
+		}
+		if r.IntN(3) == 0 {
+			t.PatienceFrom = time.Duration(r.IntN(1000)) * time.Millisecond
+			t.PatienceTo = t.PatienceFrom + time.Duration(1+r.IntN(1000))*time.Millisecond
+		}
+		all = append(all, t)
+	}
+	return all
+}
+
+// The index finds what trying all routes finds.
+func TestMatchIsWhatTryingAllFinds(t *testing.T) {
+	r, cfg := random(t), platform()
+	hit := 0
+	for range 50 {
+		table := NewTable(drawMatching(r, 60, cfg), cfg)
+		for range 200 {
+			a := Ask{Class: cfg.Classes[r.IntN(len(cfg.Classes))].Name, Plan: cfg.Plans[r.IntN(len(cfg.Plans))].Name,
+				Customer: fmt.Sprintf("%016x", r.Uint64N(64)<<56), Patience: time.Duration(r.IntN(2000)) * time.Millisecond}
+			got, want := table.Match(a), slow(table, a)
+			if got != want {
+				t.Fatalf("%+v: got %d, want %d", a, got, want)
+			}
+			if hit += b2i(got >= 0); got >= 0 && !strings.Contains(table.Explain(a), "route "+table.Route(got).Name+" ") {
+				t.Fatalf("Explain says\n%s", table.Explain(a))
+			}
+		}
+	}
+	if hit < 1000 {
+		t.Errorf("only %d matches", hit)
+	}
+	table := NewTable([]*Route{{Name: "r", Classes: []string{"slot-book"}}}, cfg)
+	for _, a := range []Ask{{Class: "none", Plan: "plus"}, {Class: "slot-book", Plan: "none"}, {Class: "slot-lookup", Plan: "plus"}} {
+		if n := table.Match(a); n != -1 {
+			t.Errorf("%+v matches %d", a, n)
+		}
+	}
+}
+
+// The stated order: customers, the longer prefix, class, plan, patience.
+func TestOrder(t *testing.T) {
+	cfg := platform()
+	byRank := []*Route{
+		{Name: "customer", Customers: []uint64{0xab << 56}}, {Name: "prefix2", Prefix: "ab"}, {Name: "prefix1", Prefix: "a"},
+		{Name: "class-plan", Classes: []string{"slot-book"}, Plans: []string{"plus"}}, {Name: "class", Classes: []string{"slot-book"}},
+		{Name: "plan", Plans: []string{"plus"}}, {Name: "patience", PatienceFrom: time.Second}, {Name: "all"}}
+	for i := range byRank {
+		left := slices.Clone(byRank[i:])
+		rand.Shuffle(len(left), func(a, b int) { left[a], left[b] = left[b], left[a] })
+		table := NewTable(left, cfg)
+		n := table.Match(Ask{Class: "slot-book", Plan: "plus", Customer: "ab00000000000000", Patience: 2 * time.Second})
+		if got := table.Route(n).Name; got != byRank[i].Name {
+			t.Errorf("got %s, want %s", got, byRank[i].Name)
+		}
+	}
+}
+
+// A request's own patience cuts what a route gives, and Explain shows it.
+func TestExplainShowsTheClamp(t *testing.T) {
+	table := NewTable([]*Route{{Name: "book", Classes: []string{"slot-book"}, Whole: 5 * time.Second, Attempt: 2 * time.Second, Attempts: 2,
+		AgainWords: []string{"never-ran"}, Copy: CopyRule{Allowed: true, After: time.Second, Quantile: 0.95, Least: time.Millisecond}}}, platform())
+	got := table.Explain(Ask{Class: "slot-book", Plan: "plus", Patience: 1500 * time.Millisecond})
+	for _, want := range []string{"whole: 5s, cut to the request's patience of 1.5s\n", "attempt: 2s, cut to", "after the 95% quantile of answer times (1s until 50 answers"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("no %q in\n%s", want, got)
+		}
+	}
+	if got := table.Explain(Ask{Class: "slot-lookup", Plan: "plus"}); !strings.Contains(got, "no route matches") || !strings.Contains(got, "class slot-lookup is not in its list") {
+		t.Errorf("got\n%s", got)
+	}
+}
+
+// Quantiles are within 5% of the true ones, forget with age, and take no memory that grows.
+func TestTimes(t *testing.T) {
+	r := random(t)
+	var times Times
+	var all []time.Duration
+	if times.Quantile(0.5, 0) != 0 {
+		t.Error("a quantile of nothing")
+	}
+	for range 20000 {
+		d := time.Duration(r.ExpFloat64() * float64(80*time.Millisecond))
+		all = append(all, d)
+		times.Add(d, time.Second)
+	}
+	slices.Sort(all)
+	for _, q := range []float64{0.5, 0.9, 0.95, 0.99, 0.999} {
+		got, want := times.Quantile(q, time.Second), all[int(q*float64(len(all)))]
+		if off := math.Abs(float64(got)/float64(want) - 1); off > 0.06 { // 5% and the sample's own step
+			t.Errorf("quantile %v: got %v, want %v", q, got, want)
+		}
+	}
+	now := time.Second + 5*halveAfter
+	for range 20000 {
+		times.Add(400*time.Millisecond, now)
+	}
+	if got := times.Quantile(0.5, now); got < 380*time.Millisecond || got > 420*time.Millisecond {
+		t.Errorf("after a change the median is %v", got)
+	}
+	if times.Quantile(0.5, now+time.Hour) != 0 {
+		t.Error("what is an hour old still counts")
+	}
+	times.Add(-time.Second, now+time.Hour)
+	times.Add(1000*time.Hour, now+time.Hour)
+	if allocs := testing.AllocsPerRun(100, func() { times.Add(time.Second, now+time.Hour); times.Quantile(0.9, now+time.Hour) }); allocs > 0 {
+		t.Errorf("%v allocations", allocs)
+	}
+}
+
+// The delay of second copies follows the answers; requests that are open keep theirs.
+func TestBoundsFollowTheQuantile(t *testing.T) {
+	cfg := platform()
+	table := NewTable([]*Route{{Name: "r", Attempts: 2, Copy: CopyRule{Allowed: true, Quantile: 0.9}}}, cfg)
+	first := table.Bounds(0, "slot-lookup", time.Second)
+	if first.Copies {
+		t.Error("second copies before any answer was seen")
+	}
+	for range 100 {
+		table.Answered(0, "slot-lookup", 50*time.Millisecond, time.Second)
+	}
+	second := table.Bounds(0, "slot-lookup", time.Second)
+	if first.Copies || !second.Copies || second.CopyAfter < 45*time.Millisecond || second.CopyAfter > 55*time.Millisecond {
+		t.Errorf("first %+v, then %+v", first, second)
+	}
+	if other := table.Bounds(0, "slot-book", time.Second); other.Copies {
+		t.Error("the other class has seen no answer")
+	}
+	if again := table.Bounds(0, "slot-lookup", time.Second); again != second {
+		t.Error("bounds that did not change were made anew")
+	}
+}
+
+// With every node failing, a group gets first attempts x (1 + budget) at most, and the floor; each group by itself.
+func TestBudgetHoldsAtTotalFailure(t *testing.T) {
+	for _, o := range []decide.Outcome{decide.Error, decide.Full, decide.Reset} {
+		cfg := platform()
+		rt := &Route{Name: "r", Attempts: 5, Again: outcomes["error"] | outcomes["never-ran"] | outcomes["reset"], Budget: 0.2}
+		w := newWorld(t, cfg, []*Route{rt})
+		w.fate = func(*world, *asked, *sent) (decide.Outcome, time.Duration) { return o, time.Millisecond }
+		for range 2000 {
+			w.ask("slot-lookup", "plus", time.Second)
+			w.run(w.now + 20*time.Millisecond)
+		}
+		firsts, further := 0, 0
+		for cell := range 2 {
+			firsts, further = firsts+w.firsts[cell], further+w.further[cell]
+			if float64(w.further[cell]) > 0.2*float64(w.firsts[cell]) {
+				t.Errorf("outcome %d: cell %d got %d further attempts on %d first ones", o, cell, w.further[cell], w.firsts[cell])
+			}
+		}
+		if further < firsts/10 {
+			t.Errorf("outcome %d: only %d further attempts on %d first ones", o, further, firsts)
+		}
+		if len(w.broken) > 0 {
+			t.Error(w.broken)
+		}
+	}
+}
+
+// Second copies stop where servers are full, before anything else does.
+func TestCopiesStopWhenTheFleetIsFull(t *testing.T) {
+	cfg := platform()
+	rt := &Route{Name: "r", Attempts: 2, Budget: 10, BudgetFloor: 1000, Copy: CopyRule{Allowed: true, After: 50 * time.Millisecond}}
+	copies := func(every time.Duration) (n int) {
+		w := newWorld(t, cfg, []*Route{rt})
+		w.fate = func(w *world, a *asked, s *sent) (decide.Outcome, time.Duration) {
+			return decide.OK, 200 * time.Millisecond
+		}
+		for range 400 {
+			w.ask("slot-lookup", "plus", time.Second)
+			w.run(w.now + every)
+		}
+		for _, a := range w.all {
+			n += max(0, len(a.sent)-1)
+		}
+		return n
+	}
+	few, many := copies(400*time.Millisecond), copies(2*time.Millisecond)
+	if few < 300 || many > few/3 {
+		t.Errorf("%d copies at little load, %d at much", few, many)
+	}
+}
+
+// Budgets take constant memory, whatever cells servers name.
+func TestGroupsAreBounded(t *testing.T) {
+	s := newState(&Route{Budget: 1}, 1)
+	for cell := range 10 * groupsMost {
+		s.First(time.Second, &decide.Server{Cell: cell})
+	}
+	if len(s.budgets) != groupsMost+1 {
+		t.Errorf("%d groups are kept", len(s.budgets))
+	}
+	if !s.Take(time.Second, &decide.Server{Cell: 1 << 20}) {
+		t.Error("the groups without a budget of their own have none")
+	}
+}
+
+func TestOpenIsBounded(t *testing.T) {
+	table := NewTable([]*Route{{Name: "r", Open: 2}}, platform())
+	if !table.Begin(0) || !table.Begin(0) || table.Begin(0) {
+		t.Error("not two are taken")
+	}
+	if table.End(0); !table.Begin(0) {
+		t.Error("a place that was given back is not taken")
+	}
+}
+
+func BenchmarkMatch1000Routes(b *testing.B) {
+	cfg := platform()
+	var routes []*Route
+	for i := range 1000 {
+		r := &Route{Name: fmt.Sprintf("r%d", i), Classes: []string{cfg.Classes[i%2].Name}}
+		switch i % 3 {
+		case 0:
+			r.Customers = []uint64{uint64(i)}
+		case 1:
+			r.Prefix = fmt.Sprintf("%016x", uint64(i)<<40)[:4+i%4]
+		default:
+			r.PatienceFrom = time.Duration(i) * time.Microsecond
+			r.PatienceTo = r.PatienceFrom + time.Microsecond
+		}
+		routes = append(routes, r)
+	}
+	routes = append(routes, &Route{Name: "all"})
+	table := NewTable(routes, cfg)
+	asks := []Ask{{"slot-lookup", "plus", "00000000000003c0", 500 * time.Microsecond}, {"slot-book", "plus", "0003010000000000", 250 * time.Microsecond},
+		{"slot-lookup", "basic", "00000000b4d65521", 480 * time.Millisecond}}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if table.Match(asks[i%len(asks)]) < 0 {
+			b.Fatal("no match")
+		}
+	}
+}
