Let the core answer with outcomes and values; RESP makes its own bytes

HTTP/2 needs a core that knows no protocol, and answers were made of RESP's bytes in it. A request's end is now an ending (kind, value, advice) that its front, an asker, turns into bytes as it writes; a refusal, a failure and a value no longer cost a buffer of their own.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -14,11 +14,21 @@
 
 // slot holds the place of an answer among those of its connection.
 type slot struct {
-	req   *request // open, else nil
-	reply []byte
-	ready bool
+	client *client
+	req    *request // open, else nil
+	end    ending
+	ready  bool
+}
+
+// ended fills the slot and writes what is next in order.
+func (s *slot) ended(l *loop, e ending) {
+	s.req = nil
+	s.fill(e)
+	l.flush(s.client)
 }
 
+func (s *slot) fill(e ending) { s.end, s.ready = e, true }
+
 // client is a connection of a client.
 type client struct {
 	outlet
@@ -54,12 +64,12 @@
 		return
 	}
 	for _, r := range e.got {
-		s := &slot{}
+		s := &slot{client: e.c}
 		e.c.slots = append(e.c.slots, s)
 		if r.cmd == nil {
-			e.c.reply(s, r.reply)
+			s.fill(ending{kind: endReady, value: r.reply})
 		} else {
-			l.accept(e.c, s, r.cmd)
+			s.req = l.accept(s, r.cmd)
 		}
 		l.drainTodo()
 	}
@@ -126,16 +136,11 @@
 	}
 }
 
-// reply fills a slot; flush writes it when those before it are filled.
-func (c *client) reply(s *slot, b []byte) {
-	s.reply, s.ready = b, true
-}
-
 // flush writes the answers that are next in order, in one write.
 func (l *loop) flush(c *client) {
 	n := 0
 	for n < len(c.slots) && c.slots[n].ready {
-		c.backlog = append(c.backlog, c.slots[n].reply...)
+		c.backlog = c.slots[n].end.appendRESP(c.backlog)
 		n++
 	}
 	if n > 0 {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"sloepick/decide"
 	"sloepick/internal/route"
 	"sloepick/internal/tuning"
@@ -117,8 +115,7 @@
 // request is a client's request until its final answer is given and nothing of it is out.
 type request struct {
 	id       string // the module's; a client's own ids may come twice
-	client   *client
-	slot     *slot
+	from     asker
 	cmd      *command
 	attempts []*attempt
 	overdue  *alarm
@@ -272,7 +269,7 @@
 		return
 	}
 	for _, r := range l.requests {
-		l.answer(r, redcon.AppendError(nil, "ERR internal error"))
+		l.answer(r, ending{kind: endFailed, why: "internal error"})
 		for _, a := range r.attempts {
 			l.pool.cancel(a)
 		}
@@ -292,11 +289,11 @@
 		}
 	case decide.Refuse:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, busy(a.RetryAfter))
+			l.answer(r, ending{kind: endRefused, after: a.RetryAfter})
 		}
 	case decide.Fail:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, redcon.AppendError(nil, "ERR failed"))
+			l.answer(r, ending{kind: endFailed, why: "failed"})
 		}
 	case decide.SetTimer:
 		core := l.core
@@ -319,42 +316,30 @@
 	}
 }
 
-func busy(after time.Duration) []byte {
-	if after <= 0 {
-		return redcon.AppendError(nil, "BUSY")
-	}
-	ms := (after + time.Millisecond - 1) / time.Millisecond
-	return redcon.AppendError(nil, "BUSY "+strconv.FormatInt(int64(ms), 10))
-}
-
 // heldMost is how many bytes the commands of open requests may take.
 func (l *loop) heldMost() int { return int(float64(l.cfg.MemoryMB<<20) * l.tune.Load().Clients.Held) }
 
-// accept takes a request that has been read whole.
-func (l *loop) accept(c *client, s *slot, cmd *command) {
+// accept takes a request that a front has read whole. It returns nil if the request has its ending already.
+func (l *loop) accept(from asker, cmd *command) *request {
 	cap := l.cfg.Settings.OpenCap
 	if l.held+cmd.size() > l.heldMost() || (cap > 0 && len(l.requests) >= cap) {
-		c.reply(s, busy(l.cfg.Settings.Decide.Limits.MaxRetryAfter))
-		l.flush(c)
-		return
+		from.ended(l, ending{kind: endRefused, after: l.cfg.Settings.Decide.Limits.MaxRetryAfter})
+		return nil
 	}
 	if _, open := l.ids[cmd.id()]; open { // two of one id must never meet one another's answer
-		c.reply(s, redcon.AppendError(nil, "ERR a request with this id is open"))
-		l.flush(c)
-		return
+		from.ended(l, ending{kind: endRejected, why: "a request with this id is open"})
+		return nil
 	}
 	l.nextID++
-	r := &request{id: strconv.FormatUint(l.nextID, 36), client: c, slot: s, cmd: cmd}
+	r := &request{id: strconv.FormatUint(l.nextID, 36), from: from, cmd: cmd}
 	if !l.enter(r) {
 		advice := r.routes.Route(r.route).Advice
 		if advice == 0 {
 			advice = l.cfg.Settings.Decide.Limits.MaxRetryAfter
 		}
-		c.reply(s, busy(advice))
-		l.flush(c)
-		return
+		from.ended(l, ending{kind: endRefused, after: advice})
+		return nil
 	}
-	s.req = r
 	l.requests[r.id] = r
 	l.ids[cmd.id()] = struct{}{}
 	l.held += cmd.size()
@@ -366,6 +351,7 @@
 		ev.Bounds = r.routes.Bounds(r.route, ev.Class, l.clock.now())
 	}
 	l.feed(ev)
+	return r
 }
 
 // reroute takes routes in place of the former ones. Requests that are open keep what they began with.
@@ -397,19 +383,17 @@
 		return
 	}
 	l.log.Error("a request was left open past its deadline", "class", r.cmd.req.Class, "attempts", len(r.attempts))
-	l.answer(r, redcon.AppendError(nil, "ERR failed"))
+	l.answer(r, ending{kind: endFailed, why: "failed"})
 	l.feed(decide.ClientGone{ID: r.id})
 }
 
 // answer gives a request its final answer, once.
-func (l *loop) answer(r *request, reply []byte) {
+func (l *loop) answer(r *request, e ending) {
 	if r.done {
 		return
 	}
-	s := r.slot
 	l.end(r)
-	r.client.reply(s, reply)
-	l.flush(r.client)
+	r.from.ended(l, e)
 }
 
 // abandon ends a request whose client has gone away.
@@ -423,7 +407,6 @@
 
 func (l *loop) end(r *request) {
 	r.done = true
-	r.slot.req = nil
 	if r.routes != nil {
 		r.routes.End(r.route)
 	}
@@ -481,7 +464,7 @@
 		now := l.clock.now()
 		r.routes.Answered(r.route, r.cmd.req.Class, now-a.at, now)
 	}
-	l.answer(a.req, value)
+	l.answer(a.req, ending{kind: endServed, value: value})
 	l.ended(a, decide.OK)
 }
 
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -62,6 +62,9 @@
 	return nil, nil
 }
 
+// clientOf is the connection that a request came on.
+func clientOf(r *request) *client { return r.from.(*slot).client }
+
 func text(t *testing.T, conn net.Conn) string {
 	t.Helper()
 	b, err := io.ReadAll(conn)
@@ -82,7 +85,7 @@
 	for name, meanwhile := range map[string]func(l *loop, r *request){
 		"cancelled": func(l *loop, r *request) { l.pool.cancel(r.attempts[0]) },
 		"timed out": func(l *loop, r *request) { l.pool.expire(r.attempts[0]) },
-		"left":      func(l *loop, r *request) { l.closeClient(r.client) },
+		"left":      func(l *loop, r *request) { l.closeClient(clientOf(r)) },
 		"draining": func(l *loop, r *request) {
 			l.fleet(decide.FleetDelta, serverList{Version: 2, Servers: []serverEntry{{ID: "s-0", Addr: r.attempts[0].server.addr, State: "draining"}}})
 		},
@@ -144,7 +147,7 @@
 func TestOverdueRequestIsFailed(t *testing.T) {
 	l := still(t, unreachable(t))
 	r, far := open(t, l)
-	c := r.client
+	c := clientOf(r)
 	l.overdue(r)
 	l.overdue(r)
 	l.drainTodo()
@@ -164,7 +167,7 @@
 	a := r.attempts[0]
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
-	answered{a.conn, answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
+	answered{a.conn, answer{decide.OK, []byte("v"), true}}.apply(l)
 	if len(a.server.idle) != 1 {
 		t.Fatalf("%d connections are idle, want 1", len(a.server.idle))
 	}
@@ -187,8 +190,8 @@
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
 	c := a.conn
-	answered{c, answer{decide.OK, []byte("$1\r\nv\r\n"), true}}.apply(l)
-	answered{c, answer{decide.OK, []byte("$1\r\nw\r\n"), true}}.apply(l)
+	answered{c, answer{decide.OK, []byte("v"), true}}.apply(l)
+	answered{c, answer{decide.OK, []byte("w"), true}}.apply(l)
 	text(t, far)
 	if len(a.server.idle) != 0 {
 		t.Error("the connection is kept")
@@ -202,7 +205,7 @@
 	a := r.attempts[0]
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
-	answered{a.conn, answer{decide.OK, []byte("$1\r\nv\r\n"), false}}.apply(l)
+	answered{a.conn, answer{decide.OK, []byte("v"), false}}.apply(l)
 	text(t, far)
 	if len(a.server.idle) != 0 || l.pool.conns != 0 {
 		t.Error("the connection is kept")
--- a/internal/gateway/resp.go
+++ b/internal/gateway/resp.go
@@ -82,7 +82,7 @@
 // answer is what a server said to a request.
 type answer struct {
 	outcome decide.Outcome
-	value   []byte // as it goes to the client
+	value   []byte // shares memory with what was read
 	inStep  bool   // the whole of it was read, so the next answer can be told from it
 }
 
@@ -121,12 +121,12 @@
 	if err != nil || from == 0 {
 		return a, 0, err
 	}
-	_, n, err := bulk(b[from:], 0, valueMost)
+	value, n, err := bulk(b[from:], 0, valueMost)
 	if err != nil || n == 0 {
 		return a, 0, err
 	}
 	at := from + n
-	a = answer{decide.OK, b[from:at], true}
+	a = answer{decide.OK, value, true}
 	for range 2 { // figures on use, load report
 		_, n, err := bulk(b[at:], -1, fieldMost)
 		if err != nil {
--- a/internal/gateway/resp_test.go
+++ b/internal/gateway/resp_test.go
@@ -12,11 +12,11 @@
 func TestParseAnswer(t *testing.T) {
 	const rest = "$-1\r\n$-1\r\n"
 	for in, want := range map[string]answer{
-		"*3\r\n$1\r\nv\r\n" + rest:                   {decide.OK, []byte("$1\r\nv\r\n"), true},
-		"*3\r\n$0\r\n\r\n" + rest:                    {decide.OK, []byte("$0\r\n\r\n"), true},
-		"*3\r\n$1\r\nv\r\n$2\r\n51\r\n$3\r\n?!?\r\n": {decide.OK, []byte("$1\r\nv\r\n"), true},
-		"*3\r\n$1\r\nv\r\n:5\r\n$-1\r\n":             {decide.OK, []byte("$1\r\nv\r\n"), false},
-		"*3\r\n$1\r\nv\r\n$-1\r\n$3000000000\r\n":    {decide.OK, []byte("$1\r\nv\r\n"), false},
+		"*3\r\n$1\r\nv\r\n" + rest:                   {decide.OK, []byte("v"), true},
+		"*3\r\n$0\r\n\r\n" + rest:                    {decide.OK, []byte(""), true},
+		"*3\r\n$1\r\nv\r\n$2\r\n51\r\n$3\r\n?!?\r\n": {decide.OK, []byte("v"), true},
+		"*3\r\n$1\r\nv\r\n:5\r\n$-1\r\n":             {decide.OK, []byte("v"), false},
+		"*3\r\n$1\r\nv\r\n$-1\r\n$3000000000\r\n":    {decide.OK, []byte("v"), false},
 		"-ERR failed inflight=7,queue=2\r\n":         {decide.Error, nil, true},
 		"-BUSY\r\n":                                  {decide.Full, nil, true},
 		"-BUSY draining\r\n":                         {decide.Full, nil, true},
@@ -72,7 +72,7 @@
 	f.Add([]byte("-ERR failed\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		a, used, err := parseAnswer(b)
-		if used > len(b) || used < 0 || (err != nil && used != 0) || (used > 0 && (a.outcome == decide.OK) != (len(a.value) > 0)) {
+		if used > len(b) || used < 0 || (err != nil && used != 0) || (used > 0 && (a.outcome == decide.OK) != (a.value != nil)) {
 			t.Errorf("%q: %+v, %d bytes, %v", b, a, used, err)
 		}
 	})
--- a/internal/gateway/rude_test.go
+++ b/internal/gateway/rude_test.go
@@ -256,7 +256,7 @@
 			timers++
 		}
 	}
-	l.closeClient(r.client)
+	l.closeClient(clientOf(r))
 	l.drainTodo()
 	if len(l.alarms) != before+timers || len(l.requests) != 0 || len(l.ids) != 0 {
 		t.Errorf("%d alarms, want %d; %d requests, %d ids", len(l.alarms), before+timers, len(l.requests), len(l.ids))
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -112,7 +112,7 @@
 	if !c.closed || second.conn != nil {
 		t.Error("the request went out on a connection that is out of step")
 	}
-	l.closeClient(a.req.client)
+	l.closeClient(clientOf(a.req))
 	if got := text(t, client); got != "$5\r\nfirst\r\n" {
 		t.Errorf("the client got %q", got)
 	}
