Tell a file's warnings once a reload, however often it was read

A reload reads the operators' file until two readings agree, and logged the same warning at each. They are told with the reading that is taken.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,9 +60,11 @@
 	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: &level})).With("gateway", cfg.Name)
 	r := reloader{file: file, cfg: &cfg, getenv: getenv, log: log, level: &level, reloads: make(chan gateway.Reload)}
 	if file != "" {
-		if r.now, err = r.load(); err != nil {
+		var warnings sloe.Diags
+		if r.now, warnings, err = r.load(); err != nil {
 			return err
 		}
+		r.warn(warnings)
 		cfg.Tuning, cfg.Routes = tuning.From(r.now), route.From(r.now)
 		level.Set(blocks.Level(r.now))
 	}
@@ -113,20 +115,22 @@
 	return fmt.Sprintf("the operator file %s can't be used: errors=%d, the first: %s", e.file, n, first)
 }
 
-// load reads the operator file and holds it to the platform's settings. Its warnings go to the log; its errors are
-// told with their places.
-func (r *reloader) load() (*operator.Config, error) {
+// load reads the operator file and holds it to the platform's settings. What comes back beside it are warnings.
+func (r *reloader) load() (*operator.Config, sloe.Diags, error) {
 	c, diags, err := blocks.Load(r.file, r.cfg)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if diags.Failed() {
-		return nil, &badFile{r.file, diags}
+		return nil, nil, &badFile{r.file, diags}
 	}
-	for _, d := range diags {
+	return c, diags, nil
+}
+
+func (r *reloader) warn(warnings sloe.Diags) {
+	for _, d := range warnings {
 		r.log.Warn(d.Msg, "at", d.Pos.String())
 	}
-	return c, nil
 }
 
 // reloader reads both files again at each SIGHUP and passes on what changed.
@@ -230,15 +234,16 @@
 
 // steady reads the operator file until it reads the same twice: an editor may be in the middle of writing it.
 func (r *reloader) steady(ctx context.Context) (*operator.Config, error) {
-	c, err := r.load()
+	c, _, err := r.load()
 	for end := time.Now().Add(steadyMost); time.Now().Before(end); {
 		select {
 		case <-time.After(steadyFor):
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		again, errAgain := r.load()
+		again, warnings, errAgain := r.load()
 		if same(c, again, err, errAgain) {
+			r.warn(warnings)
 			return again, errAgain
 		}
 		c, err = again, errAgain
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -155,6 +155,16 @@
 	}
 }
 
+// A warning is told once at the start and once a reload, however often the file was read.
+func TestWarningsAreToldOnce(t *testing.T) {
+	r := newRig(t, "define x = 1s\n"+idle("1h"))
+	r.hup()
+	r.logs("msg=reloaded", 1)
+	if log := r.gateway.Log.String(); strings.Count(log, `the definition \"x\" is never used`) != 2 {
+		t.Errorf("the log is\n%s", log)
+	}
+}
+
 // One bad file, whichever, and everything stays: the values, the level and the address of discovery.
 func TestReloadIsAllOrNothing(t *testing.T) {
 	r := newRig(t, idle("1h"))
