--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -98,7 +98,6 @@
 	prefixes []prefixes // the longest first
 	all      group
 	state    []*state // by place in routes
-	pick     []decide.Class
 }
 
 // group holds the routes of the same customers by class and plan: for each of the pairs those that fit, by rank.
@@ -114,7 +113,7 @@
 
 // NewTable makes a table for a platform's settings. The routes were checked by Prove.
 func NewTable(routes []*Route, cfg *decide.Config) *Table {
-	t := &Table{routes: slices.Clone(routes), classes: map[string]int{}, plans: map[string]int{}, exact: map[uint64]group{}, pick: cfg.Classes}
+	t := &Table{routes: slices.Clone(routes), classes: map[string]int{}, plans: map[string]int{}, exact: map[uint64]group{}}
 	slices.SortStableFunc(t.routes, func(a, b *Route) int { return cmp.Compare(b.rank(), a.rank()) })
 	for i, c := range cfg.Classes {
 		t.classes[c.Name] = i
--- a/internal/sloe/load_test.go
+++ b/internal/sloe/load_test.go
@@ -134,8 +134,8 @@
 	}
 }
 
-// A tree whose every file includes the next one twice would have 2^30 leaves. It is read once, and each second
-// include is told.
+// A tree whose every file includes the next one twice is read once, and each second include is told. One that doubles
+// 30 times ends at the bound on depth, with one error.
 func TestDoublingTree(t *testing.T) {
 	texts, want := map[string]string{}, []string(nil)
 	for i := range 12 {
@@ -149,6 +149,17 @@
 	}
 }
 
+func TestTreeThatDoubles30Times(t *testing.T) {
+	texts := map[string]string{"main.sloe": "include \"0.sloe\"\n"}
+	for i := range 30 {
+		texts[fmt.Sprintf("%d.sloe", i)] = fmt.Sprintf("include \"%d.sloe\"\ninclude \"%d.sloe\"\n", i+1, i+1)
+	}
+	files(t, texts)
+	if tree := wantDiags(t, "15.sloe:1:9: includes go deeper than 16 files; nothing more is read"); len(tree.Files) > 17 {
+		t.Errorf("%d files were read", len(tree.Files))
+	}
+}
+
 // Distinct files are bounded in number, depth and bytes; the error comes once.
 func TestManyFiles(t *testing.T) {
 	texts := map[string]string{"main.sloe": "include \"d\"\n"}
