Tell quantiles by exact ranks, and give all random tests fixed seeds

Cause: at 0.999 of 20,000 answers the rank is a whole number, and the table told that answer where the test's exact quantile is the next one up (591.1 ms told, 597.5 ms true). Looking further: the figure was cached for 15 answers, answers over 26.6 s were told as 26.6 s, and a logarithm decided at a bucket's edge.

Change: the table of answer times is a file of its own with whole-number weights, one definition of a rank, edges compared exactly, a range to 10 minutes, and a place kept between looks in place of a cache.

Seeds: internal/stand/seeds is the one place. A plain run plays fixed lists; the seeds that failed are in the list.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"sloepick/internal/stand"
+	"sloepick/internal/stand/seeds"
 )
 
 // TestMain lets the test's own binary stand for the program, so that tests can start, reload and stop real processes.
@@ -257,9 +258,11 @@
 
 // Ten reloads a second, of good files and bad ones, while clients ask: no request is lost and no rule broken.
 func TestReloadsUnderLoad(t *testing.T) {
+	seeds.Play(t, []uint64{1}, reloadsUnderLoad)
+}
+
+func reloadsUnderLoad(t *testing.T, seed uint64) {
 	r := newRig(t, idle("10s"))
-	seed := uint64(time.Now().UnixNano())
-	t.Logf("seed %d", seed)
 	ctx, cancel := context.WithTimeout(r.ctx, 4*time.Second)
 	defer cancel()
 	var mu sync.Mutex
--- a/internal/daemon/tail_test.go
+++ b/internal/daemon/tail_test.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"sloepick/internal/stand"
+	"sloepick/internal/stand/seeds"
 )
 
 var (
 	tail        = flag.Bool("tail", false, "measure the slowest answers with and without second copies")
-	tailSeed    = flag.Uint64("seed", 1, "of the measurement's traffic")
 	tailSeconds = flag.Int("seconds", 20, "of each of its runs")
 )
 
@@ -25,13 +25,16 @@
 	if !*tail {
 		t.Skip("a measurement; -tail runs it")
 	}
+	seeds.Play(t, []uint64{1}, measureTail)
+}
+
+func measureTail(t *testing.T, seed uint64) {
 	const base = "route look {\n classes = [\"slot-lookup\"]\n attempts = 2\n again = [never-ran, error]\n budget = 10%\n"
 	variants := []struct{ name, file string }{
 		{"no second copy", base + "}\n"},
 		{"after 100 ms", base + " copy { after = 100ms }\n}\n"},
 		{"after the 95% quantile", base + " copy {\n  after = 100ms\n  quantile = 95%\n }\n}\n"},
 	}
-	t.Logf("-seed %d", *tailSeed)
 	scenes := []struct {
 		name         string
 		nodes, oneOf int
@@ -40,7 +43,7 @@
 		for _, v := range slices.Concat(variants, variants) {
 			r := newRigOf(t, v.file, 10)
 			var mu sync.Mutex
-			rnd := rand.New(rand.NewPCG(*tailSeed, 7))
+			rnd := rand.New(rand.NewPCG(seed, 7))
 			for _, n := range r.site.Nodes[:scene.nodes] {
 				n.Stall(func(stand.Arrival) time.Duration {
 					mu.Lock()
@@ -51,7 +54,7 @@
 					return 0
 				})
 			}
-			t.Logf("%-26s %-22s %s", scene.name, v.name, r.lookups())
+			t.Logf("%-26s %-22s %s", scene.name, v.name, r.lookups(seed))
 			r.gateway.Kill()
 			r.site.Close()
 		}
@@ -59,7 +62,7 @@
 }
 
 // lookups plays look-ups alone and tells how long they took and what came to the nodes.
-func (r *rig) lookups() string {
+func (r *rig) lookups(seed uint64) string {
 	r.t.Helper()
 	ctx, cancel := context.WithTimeout(r.ctx, time.Duration(*tailSeconds)*time.Second)
 	defer cancel()
@@ -68,7 +71,7 @@
 	all := 0
 	class := r.site.Platform.Classes[0]
 	class.Share = 1
-	crowd := stand.Crowd{Gateways: []string{r.place.Listen}, Classes: []stand.ClassMix{class}, Seed: *tailSeed, Each: func(e stand.Ended) {
+	crowd := stand.Crowd{Gateways: []string{r.place.Listen}, Classes: []stand.ClassMix{class}, Seed: seed, Each: func(e stand.Ended) {
 		mu.Lock()
 		defer mu.Unlock()
 		if all++; e.Kind == stand.WasServed {
--- a/internal/route/model_test.go
+++ b/internal/route/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,23 +10,9 @@
 	"time"
 
 	"sloepick/decide"
+	"sloepick/internal/stand/seeds"
 )
 
-var (
-	seed = flag.Uint64("seed", 0, "of the random tests; 0 draws one")
-	long = flag.Int("rounds", 300, "of the test of random routes")
-)
-
-func random(t testing.TB) *rand.Rand {
-	t.Helper()
-	s := *seed
-	if s == 0 {
-		s = uint64(time.Now().UnixNano())
-	}
-	t.Logf("-seed %d", s)
-	return rand.New(rand.NewPCG(s, 0))
-}
-
 // event is something that happens in the world at a time.
 type event struct {
 	at time.Duration
@@ -309,8 +294,12 @@
 
 // Whatever routes the proof accepts, in no schedule of outcomes is a rule broken or a bound passed.
 func TestWhatIsProvenKeepsTheRules(t *testing.T) {
-	r, taken, sends := random(t), 0, 0
-	for round := 0; taken < *long; round++ {
+	seeds.Play(t, []uint64{1, 2}, func(t *testing.T, seed uint64) { provenKeepsTheRules(t, seeds.Rand(seed), seeds.Rounds(150)) })
+}
+
+func provenKeepsTheRules(t *testing.T, r *rand.Rand, rounds int) {
+	taken, sends := 0, 0
+	for round := 0; taken < rounds; round++ {
 		cfg := platform()
 		rt := drawRoute(r, fmt.Sprintf("r%d", round), cfg)
 		if len(Prove([]*Route{rt}, cfg, margins)) > 0 {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sloepick/decide"
+	"sloepick/internal/stand/seeds"
 )
 
 // slow finds a request's route by trying all, the most specific first.
@@ -55,7 +56,11 @@
 
 // The index finds what trying all routes finds.
 func TestMatchIsWhatTryingAllFinds(t *testing.T) {
-	r, cfg := random(t), platform()
+	seeds.Play(t, []uint64{1}, func(t *testing.T, seed uint64) { matchIsWhatTryingAllFinds(t, seeds.Rand(seed)) })
+}
+
+func matchIsWhatTryingAllFinds(t *testing.T, r *rand.Rand) {
+	cfg := platform()
 	hit := 0
 	for range 50 {
 		table := NewTable(drawMatching(r, 60, cfg), cfg)
@@ -84,14 +89,14 @@
 
 // The stated order: customers, the longer prefix, class, plan, patience.
 func TestOrder(t *testing.T) {
-	cfg := platform()
+	cfg, r := platform(), seeds.Rand(1)
 	byRank := []*Route{
 		{Name: "customer", Customers: []uint64{0xab << 56}}, {Name: "prefix2", Prefix: "ab"}, {Name: "prefix1", Prefix: "a"},
 		{Name: "class-plan", Classes: []string{"slot-book"}, Plans: []string{"plus"}}, {Name: "class", Classes: []string{"slot-book"}},
 		{Name: "plan", Plans: []string{"plus"}}, {Name: "patience", PatienceFrom: time.Second}, {Name: "all"}}
 	for i := range byRank {
 		left := slices.Clone(byRank[i:])
-		rand.Shuffle(len(left), func(a, b int) { left[a], left[b] = left[b], left[a] })
+		r.Shuffle(len(left), func(a, b int) { left[a], left[b] = left[b], left[a] })
 		table := NewTable(left, cfg)
 		n := table.Match(Ask{Class: "slot-book", Plan: "plus", Customer: "ab00000000000000", Patience: 2 * time.Second})
 		if got := table.Route(n).Name; got != byRank[i].Name {
@@ -115,43 +120,6 @@
 	}
 }
 
-// Quantiles are 5% over the true ones at most and not under them, forget with age, and take no memory that grows.
-func TestTimes(t *testing.T) {
-	r := random(t)
-	var times Times
-	var all []time.Duration
-	if times.Quantile(0.5, 0) != 0 {
-		t.Error("a quantile of nothing")
-	}
-	for range 20000 {
-		d := time.Duration(r.ExpFloat64() * float64(80*time.Millisecond))
-		all = append(all, d)
-		times.Add(d, time.Second)
-	}
-	slices.Sort(all)
-	for _, q := range []float64{0.5, 0.9, 0.95, 0.99, 0.999} {
-		got, want := times.Quantile(q, time.Second), all[int(q*float64(len(all)))]
-		if off := float64(got)/float64(want) - 1; off > 0.06 || off < -0.01 { // 5% and the sample's own step
-			t.Errorf("quantile %v: got %v, want %v", q, got, want)
-		}
-	}
-	now := time.Second + 5*halveAfter
-	for range 20000 {
-		times.Add(400*time.Millisecond, now)
-	}
-	if got := times.Quantile(0.5, now); got < 400*time.Millisecond || got > 421*time.Millisecond {
-		t.Errorf("after a change the median is %v", got)
-	}
-	if times.Quantile(0.5, now+time.Hour) != 0 {
-		t.Error("what is an hour old still counts")
-	}
-	times.Add(-time.Second, now+time.Hour)
-	times.Add(1000*time.Hour, now+time.Hour)
-	if allocs := testing.AllocsPerRun(100, func() { times.Add(time.Second, now+time.Hour); times.Quantile(0.9, now+time.Hour) }); allocs > 0 {
-		t.Errorf("%v allocations", allocs)
-	}
-}
-
 // The delay of second copies follows the answers; requests that are open keep theirs.
 func TestBoundsFollowTheQuantile(t *testing.T) {
 	cfg := platform()
--- a/internal/route/state.go
+++ b/internal/route/state.go
@@ -17,10 +17,9 @@
 }
 
 const (
-	groupsMost    = 1024 // node groups with a budget of their own; the others share one
-	sharedGroup   = math.MinInt
-	quantileLeast = 50 // answers without which a quantile says nothing
-	delayStep     = time.Millisecond
+	groupsMost  = 1024 // node groups with a budget of their own; the others share one
+	sharedGroup = math.MinInt
+	delayStep   = time.Millisecond
 )
 
 func newState(r *Route, classes int) *state {
@@ -28,7 +27,7 @@
 	for range classes {
 		var t *Times
 		if r.Copy.Allowed && r.Copy.Quantile > 0 {
-			t = &Times{}
+			t = NewTimes(r.Copy.Quantile)
 		}
 		s.times = append(s.times, t)
 		s.bounds = append(s.bounds, s.make(0))
@@ -129,7 +128,7 @@
 	if times == nil {
 		return s.bounds[i]
 	}
-	if after := times.Quantile(s.route.Copy.Quantile, now); after > 0 {
+	if after := times.Quantile(now); after > 0 {
 		if d := after - s.bounds[i].CopyAfter; d > delayStep || d < -delayStep {
 			s.bounds[i] = s.make(after) // requests that are open keep what they began with
 		}
@@ -143,77 +142,3 @@
 		times.Add(took, now)
 	}
 }
-
-// Times are answer times in constant memory: counts in buckets whose bounds grow by a twentieth, halved with age, as in
-// a DDSketch (Masson et al., VLDB 2019). A quantile is told by its bucket's upper bound: over the true one by 5% at most
-// and never under it. Told too low, it would send second copies after the bulk of answers that are on time, and the
-// budget would be spent when a slow one comes.
-type Times struct {
-	counts [buckets]float32
-	sum    float32
-	aged   time.Duration
-	cached time.Duration
-	known  float64 // the quantile that cached is
-	since  int     // answers since it was
-}
-
-const (
-	buckets     = 256
-	growth      = 1.05
-	shortest    = time.Millisecond / 10
-	halveAfter  = 10 * time.Second
-	recountEach = 16 // answers after which a quantile is looked up anew
-)
-
-var logGrowth = math.Log(growth)
-
-// Add counts an answer.
-func (t *Times) Add(took, now time.Duration) {
-	t.age(now)
-	i := 0
-	if took > shortest {
-		i = min(buckets-1, int(math.Log(float64(took)/float64(shortest))/logGrowth))
-	}
-	t.counts[i]++
-	t.sum++
-	t.since++
-}
-
-func (t *Times) age(now time.Duration) {
-	if t.aged == 0 {
-		t.aged = now
-	}
-	for n := 0; now-t.aged >= halveAfter; n++ {
-		t.aged += halveAfter
-		if n > buckets { // so long ago that nothing is left
-			t.aged = now
-		}
-		t.sum = 0
-		for i := range t.counts {
-			t.counts[i] /= 2
-			t.sum += t.counts[i]
-		}
-		t.since = recountEach
-	}
-}
-
-// Quantile is the time within which a share of the answers came, or 0 while too few were seen.
-func (t *Times) Quantile(q float64, now time.Duration) time.Duration {
-	t.age(now)
-	if t.sum < quantileLeast {
-		return 0
-	}
-	if t.cached > 0 && t.known == q && t.since < recountEach {
-		return t.cached
-	}
-	left := float32(q) * t.sum
-	i := 0
-	for ; i < buckets-1; i++ {
-		if left -= t.counts[i]; left <= 0 {
-			break
-		}
-	}
-	t.cached = time.Duration(float64(shortest) * math.Pow(growth, float64(i+1)))
-	t.known, t.since = q, 0
-	return t.cached
-}
--- /dev/null
+++ b/internal/route/times_test.go
@@ -0,0 +1,218 @@
+package route
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"sloepick/internal/stand/seeds"
+)
+
+// promised fails the test unless what is told is the exact quantile or over it by a twentieth at most.
+func promised(t *testing.T, got, exact time.Duration, what string, args ...int) {
+	t.Helper()
+	if want := max(exact, shortest); got < want || got > want+want/20 {
+		t.Fatalf("%s %v: told %v, the exact one is %v", what, args, got, exact)
+	}
+}
+
+// perMille are all quantiles that the schema allows, in tenths of a percent.
+func perMille() (all []int) {
+	for q := 500; q <= 999; q++ {
+		all = append(all, q)
+	}
+	return all
+}
+
+// Seeds of 20,000 answers by an exponential law. With the three long ones the quantile 0.999 was told by the rank
+// below: 0.999 x 20,000 is whole.
+func TestTimesAtRandom(t *testing.T) {
+	seeds.Play(t, []uint64{1796123194424894679, 1796123196420768847, 1796123200026887706, 1}, func(t *testing.T, seed uint64) {
+		timesAtRandom(t, seeds.Rand(seed))
+	})
+}
+
+func timesAtRandom(t *testing.T, r *rand.Rand) {
+	var all []time.Duration
+	for range 20000 {
+		all = append(all, time.Duration(r.ExpFloat64()*float64(80*time.Millisecond)))
+	}
+	sorted := slices.Sorted(slices.Values(all))
+	for _, q := range []float64{0.5, 0.9, 0.95, 0.99, 0.999} {
+		times := NewTimes(q)
+		for _, d := range all {
+			times.Add(d, time.Second)
+		}
+		promised(t, times.Quantile(time.Second), sorted[int(q*float64(len(all)))], fmt.Sprint(q))
+	}
+}
+
+// spaced are answer times far enough apart that the wrong rank is told by the wrong bucket, each a few times, in an
+// order that puts every next one anywhere among those before.
+func spaced(n int) (all []time.Duration) {
+	for i := range n {
+		all = append(all, time.Duration(float64(time.Millisecond)*math.Pow(1.11, float64(i*61%101))))
+	}
+	return all
+}
+
+// Every count from 50 to 2,000, every quantile that the schema allows in tenths of a percent, told after each answer.
+func TestTimesAtEveryCount(t *testing.T) {
+	qs, answers := perMille(), spaced(2000)
+	var times []*Times
+	for _, q := range qs {
+		times = append(times, NewTimes(float64(q)/1000))
+	}
+	var sorted []time.Duration
+	for i, d := range answers {
+		at, _ := slices.BinarySearch(sorted, d)
+		sorted = slices.Insert(sorted, at, d)
+		for j, q := range qs {
+			times[j].Add(d, time.Second)
+			got, n := times[j].Quantile(time.Second), i+1
+			if n < quantileLeast {
+				if got != 0 {
+					t.Fatalf("%d answers tell %v", n, got)
+				}
+				continue
+			}
+			promised(t, got, sorted[q*n/1000], "quantile per mille, answers", q, n)
+		}
+	}
+}
+
+// weighted are answers with their weights in units that make all whole.
+type weighted struct {
+	took   []time.Duration
+	weight map[time.Duration]int
+}
+
+func (w *weighted) add(d time.Duration, weight int) {
+	if w.weight[d] == 0 {
+		at, _ := slices.BinarySearch(w.took, d)
+		w.took = slices.Insert(w.took, at, d)
+	}
+	w.weight[d] += weight
+}
+
+// exact tells quantiles by a sum over all answers.
+func (w *weighted) exact() (at func(perMille int) time.Duration, sum int) {
+	var upTo []int
+	for _, d := range w.took {
+		sum += w.weight[d]
+		upTo = append(upTo, sum)
+	}
+	return func(q int) time.Duration {
+		return w.took[sort.Search(len(upTo), func(i int) bool { return 1000*upTo[i] > q*sum })]
+	}, sum
+}
+
+// The same after halving, once to thrice, and with new answers among the halved.
+func TestTimesAtEveryCountAfterHalving(t *testing.T) {
+	answers, before := spaced(2100), NewTimes(0.75)
+	for n := 1; n <= 2000; n++ {
+		before.Add(answers[n-1], time.Second)
+		before.Quantile(time.Second) // so that a place is kept over the halving
+		halvings, fresh := 1+n%3, n%97
+		w := &weighted{weight: map[time.Duration]int{}}
+		for _, d := range answers[:n] {
+			w.add(d, 1)
+		}
+		now, times := time.Second+time.Duration(halvings)*halveAfter, *before
+		for _, d := range answers[n : n+fresh] {
+			times.Add(d, now)
+			w.add(d, 1<<halvings)
+		}
+		at, sum := w.exact()
+		for _, q := range perMille() {
+			times.perBillion = uint64(q) * billion / 1000
+			got := times.Quantile(now)
+			if sum >= quantileLeast<<halvings {
+				promised(t, got, at(q), "quantile per mille, answers, halvings, new answers", q, n, halvings, fresh)
+			} else if got != 0 {
+				t.Fatalf("%d answers halved %d times and %d new ones tell %v", n, halvings, fresh, got)
+			}
+		}
+	}
+}
+
+// A bucket's bound is told for what lies in it, at its edges too, and never for less.
+func TestBucketsMeetAtTheirBounds(t *testing.T) {
+	for i := 1; i < buckets; i++ {
+		for _, d := range []time.Duration{bounds[i-1] + 1, bounds[i-1] + (bounds[i]-bounds[i-1])/2, bounds[i]} {
+			if got := bucketOf(d); got != i {
+				t.Fatalf("%v falls into %d, not %d", d, got, i)
+			}
+		}
+		if bounds[i] > bounds[i-1]+bounds[i-1]/20 {
+			t.Fatalf("bucket %d grows by more than a twentieth", i)
+		}
+	}
+	for _, d := range []time.Duration{-time.Hour, 0, 1, 15, 16, shortest} {
+		if got := bucketOf(d); got != 0 {
+			t.Errorf("%v falls into %d", d, got)
+		}
+	}
+	for _, d := range []time.Duration{longest, longest + 1, 1000 * time.Hour, math.MaxInt64} {
+		if got := bucketOf(d); got != buckets-1 {
+			t.Errorf("%v falls into %d", d, got)
+		}
+	}
+}
+
+// What is old counts for less, then for nothing; a clock that stands or leaps harms nothing; no memory is taken.
+func TestTimesAge(t *testing.T) {
+	times := NewTimes(0.5)
+	if times.Quantile(0) != 0 {
+		t.Error("a quantile of nothing")
+	}
+	for range 20000 {
+		times.Add(80*time.Millisecond, time.Second)
+	}
+	now := time.Second + 5*halveAfter
+	for range 20000 {
+		times.Add(400*time.Millisecond, now)
+	}
+	promised(t, times.Quantile(now), 400*time.Millisecond, "the median after a change")
+	promised(t, times.Quantile(now-time.Minute), 400*time.Millisecond, "the median at an earlier time")
+	if times.Quantile(now+time.Hour) != 0 || times.sum != 0 || times.Quantile(math.MaxInt64) != 0 {
+		t.Error("what is an hour old still counts")
+	}
+	now += time.Hour
+	if allocs := testing.AllocsPerRun(100, func() { times.Add(time.Second, now); times.Quantile(now) }); allocs > 0 {
+		t.Errorf("%v allocations", allocs)
+	}
+}
+
+// BenchmarkTimes is a request's part: an answer is counted and the quantile told, of answers that spread.
+func BenchmarkTimes(b *testing.B) {
+	r := seeds.Rand(1)
+	var answers [4096]time.Duration
+	for i := range answers {
+		answers[i] = time.Duration(r.ExpFloat64() * float64(80*time.Millisecond))
+	}
+	for _, q := range []float64{0.5, 0.95, 0.999} {
+		b.Run(fmt.Sprint(q), func(b *testing.B) {
+			times := NewTimes(q)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				times.Add(answers[i%len(answers)], time.Second)
+				times.Quantile(time.Second)
+			}
+		})
+	}
+}
+
+// BenchmarkAnswered is the same through a route's table.
+func BenchmarkAnswered(b *testing.B) {
+	table := NewTable([]*Route{{Name: "r", Copy: CopyRule{Allowed: true, Quantile: 0.95}}}, platform())
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		table.Answered(0, "slot-lookup", time.Duration(20+i%64)*time.Millisecond, time.Second)
+		table.Bounds(0, "slot-lookup", time.Second)
+	}
+}
--- a/internal/sloe/sloe_test.go
+++ b/internal/sloe/sloe_test.go
@@ -2,30 +2,18 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 	"unicode/utf8"
 
 	"golang.org/x/exp/ebnf"
-)
-
-var seed = flag.Uint64("seed", 0, "of the random tests; 0 draws one")
 
-func random(t *testing.T) *rand.Rand {
-	t.Helper()
-	s := *seed
-	if s == 0 {
-		s = uint64(time.Now().UnixNano())
-	}
-	t.Logf("-seed %d", s)
-	return rand.New(rand.NewPCG(s, 0))
-}
+	"sloepick/internal/stand/seeds"
+)
 
 func parse(text string) (*File, Diags) { return Parse(&Source{Name: "f.sloe", Text: []byte(text)}) }
 
@@ -220,8 +208,12 @@
 
 // Sentences drawn from the grammar parse, and survive formatting.
 func TestDrawnSentencesParse(t *testing.T) {
-	r, g := random(t), grammar(t)
-	for range 3000 {
+	seeds.Play(t, []uint64{1}, func(t *testing.T, seed uint64) { drawnSentencesParse(t, seeds.Rand(seed), seeds.Rounds(3000)) })
+}
+
+func drawnSentencesParse(t *testing.T, r *rand.Rand, rounds int) {
+	g := grammar(t)
+	for range rounds {
 		var b strings.Builder
 		draw(r, g, &ebnf.Name{String: "File"}, 0, false, &b)
 		text := b.String()
