--- /dev/null
+++ b/internal/h2/wire/conn.go
@@ -0,0 +1,561 @@
+// Package wire is the server's end of one HTTP/2 connection (RFC 9113, with HPACK of RFC 7541) as a state machine: bytes
+// go in, events come out, and the frames to be written are collected. It is pure: no I/O, no clock, no goroutine; time
+// comes in as a value. Framing and header compression are golang.org/x/net/http2's; streams, windows, limits and what
+// counts as an error are here.
+//
+// Every error of the peer's ends as the RFC says: a stream's by RST_STREAM, a connection's by GOAWAY. What a peer can
+// make this end keep is bounded by Limits before anything is kept.
+package wire
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+// Limits bound what one connection may hold and ask for.
+type Limits struct {
+	Streams int // requests open at once; told in SETTINGS, over it a stream is refused (RFC 9113, 5.1.2)
+	Body    int // bytes of a request's body
+	Window  int // bytes of all bodies that are not whole yet
+	Fields  int // bytes of a header list, counted as in RFC 9113, 6.5.2
+	Block   int // bytes of a header block as it comes, over all its frames
+	Unsent  int // bytes of answers that wait for the peer's windows
+	Calm    Calm
+}
+
+// Calm is a store of what a peer may do that costs work and asks for nothing: PING, SETTINGS, PRIORITY, RST_STREAM,
+// frames without content, and whatever has to be answered by RST_STREAM. Each takes one; over it the connection ends
+// with ENHANCE_YOUR_CALM.
+type Calm struct {
+	PerSecond float64 // by which the store fills
+	Most      float64 // that it holds, and begins with
+}
+
+// DefaultLimits suit requests of a few hundred bytes and answers of 64 KiB at most.
+func DefaultLimits() Limits {
+	return Limits{Streams: 100, Body: 64 << 10, Window: 256 << 10, Fields: 8 << 10, Block: 16 << 10, Unsent: 1 << 20,
+		Calm: Calm{PerSecond: 100, Most: 200}}
+}
+
+const (
+	frameMost    = 16384 // bytes of a frame's payload, either way: the least that SETTINGS_MAX_FRAME_SIZE may be
+	frameHeader  = 9
+	windowFirst  = 65535 // of a connection and, without SETTINGS, of a stream (RFC 9113, 6.9.2)
+	windowMost   = 1<<31 - 1
+	tableSize    = 4096 // bytes of HPACK's dynamic table, either way
+	piecesMost   = 8    // frames of one header block: Block bytes need two
+	pastKept     = 128  // closed streams whose end is remembered
+	shortData    = 256  // bytes: DATA that is shorter and not a stream's last is paid for
+	creditByData = 2    // given back for each DATA frame sent: the peer may answer it by two WINDOW_UPDATEs
+)
+
+// Kind tells events apart.
+type Kind int
+
+const (
+	Asked  Kind = iota + 1 // a request is whole; it is owed one Respond, or Reset
+	TooBig                 // a request is larger than the limits: Status is owed by Respond
+	Left                   // nobody waits for the stream any more: nothing can be sent on it
+	Away                   // the peer sent GOAWAY: it begins nothing new and takes what is owed
+	Ended                  // the connection is at its end: what Out holds is the last
+)
+
+// Event is something that the peer did.
+type Event struct {
+	Kind    Kind
+	Stream  uint32
+	Request *Request      // of Asked
+	Status  int           // of TooBig: 413 or 431
+	Code    http2.ErrCode // of Left and Ended: what was told
+	Why     string        // of Ended, for the log
+}
+
+// Request is a request as it came. Field names are in lower case, and pseudo-header fields are not among Fields.
+type Request struct {
+	Method, Scheme, Authority, Path string
+	Fields                          []hpack.HeaderField
+	Body                            []byte
+}
+
+// stream is one that is open or half closed. Streams that are closed have no memory but a place in past.
+type stream struct {
+	id       uint32
+	req      *Request
+	length   int64 // that content-length tells; -1: none
+	got      int64 // bytes of the body
+	room     int64 // the window for what comes
+	window   int64 // the peer's, for what goes out
+	unsent   []byte
+	since    time.Duration // when it was begun or, later, answered
+	whole    bool          // the peer has ended it
+	refused  bool          // it is larger than the limits: what still comes of it is let go
+	answered bool          // its HEADERS are out
+	told     bool          // its request is out as an event
+}
+
+// closed is how a stream ended that is no more.
+type closed struct {
+	id   uint32
+	mine bool // by RST_STREAM from here: frames may still be on their way
+}
+
+// Conn is a connection. It is not safe for concurrent use.
+type Conn struct {
+	limits  Limits
+	now     time.Duration
+	source  source
+	framer  *http2.Framer
+	header  *http2.FrameHeader // read, with its payload yet to come
+	left    []byte             // bytes of a frame that is not whole
+	out     bytes.Buffer
+	events  []Event
+	preface int  // bytes of it that came
+	greeted bool // the peer's first SETTINGS came
+	failed  bool
+
+	decoder *hpack.Decoder
+	block   block
+	encoder *hpack.Encoder
+	encoded bytes.Buffer
+
+	streams map[uint32]*stream
+	last    uint32 // the highest stream that the peer began
+	past    [pastKept]closed
+	waiting []uint32 // streams with something unsent, the next first
+	unsent  int      // bytes, of all streams
+
+	room     int64 // the connection's window for what comes
+	owed     int64 // bytes of it to be given back
+	window   int64 // the peer's
+	firstOut int64 // the peer's SETTINGS_INITIAL_WINDOW_SIZE
+	calm     float64
+	calmed   time.Duration
+
+	refuseFrom uint32 // after the last GOAWAY: streams over it are let alone; 0: none was sent
+	away       bool
+}
+
+// NewServer begins a connection. Its SETTINGS are in Out at once.
+func NewServer(l Limits, now time.Duration) *Conn {
+	c := &Conn{limits: l, now: now, streams: map[uint32]*stream{}, room: windowFirst, window: windowFirst, firstOut: windowFirst,
+		calm: l.Calm.Most, calmed: now}
+	c.framer = http2.NewFramer(&c.out, &c.source)
+	c.framer.SetReuseFrames()
+	c.framer.SetMaxReadFrameSize(frameMost)
+	c.decoder = hpack.NewDecoder(tableSize, c.field)
+	c.decoder.SetMaxStringLength(l.Fields)
+	c.encoder = hpack.NewEncoder(&c.encoded)
+	c.written(c.framer.WriteSettings(
+		http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: uint32(l.Streams)},
+		http2.Setting{ID: http2.SettingInitialWindowSize, Val: uint32(c.streamRoom())},
+		http2.Setting{ID: http2.SettingMaxHeaderListSize, Val: uint32(l.Fields)}))
+	if more := int64(l.Window) - c.room; more > 0 {
+		c.written(c.framer.WriteWindowUpdate(0, uint32(more)))
+		c.room += more
+	}
+	return c
+}
+
+// streamRoom is a stream's window: one byte more than a body may have, so that a longer one shows and is refused.
+func (c *Conn) streamRoom() int64 { return max(windowFirst, int64(c.limits.Body)+1) }
+
+// written takes the error of a frame that the framer would not write: a slip of this package, as the buffer takes all.
+func (c *Conn) written(err error) {
+	if err != nil {
+		panic("http/2: " + err.Error())
+	}
+}
+
+// source hands the framer what Feed has made sure of.
+type source struct{ b []byte }
+
+func (s *source) Read(p []byte) (int, error) {
+	n := copy(p, s.b)
+	s.b = s.b[n:]
+	return n, nil
+}
+
+// Out is what is to be written, and empties it. It is valid until the connection is used again.
+func (c *Conn) Out() []byte {
+	b := c.out.Bytes()
+	c.out.Reset()
+	return b
+}
+
+// Open is how many streams are owed something or still send.
+func (c *Conn) Open() int { return len(c.streams) }
+
+// Failed reports that the connection is at its end.
+func (c *Conn) Failed() bool { return c.failed }
+
+// Feed takes bytes of the peer's and tells what they came to. The events are valid until the next call.
+func (c *Conn) Feed(now time.Duration, p []byte) []Event {
+	c.now, c.events = max(c.now, now), c.events[:0]
+	if c.preface < len(http2.ClientPreface) {
+		n := min(len(http2.ClientPreface)-c.preface, len(p))
+		if string(p[:n]) != http2.ClientPreface[c.preface:c.preface+n] {
+			c.fail(http2.ErrCodeProtocol, "no HTTP/2 preface")
+			return c.events
+		}
+		c.preface, p = c.preface+n, p[n:]
+	}
+	if len(c.left) > 0 {
+		c.left = append(c.left, p...)
+		p = c.left
+	}
+	for !c.failed {
+		n := c.step(p)
+		if n == 0 {
+			break
+		}
+		p = p[n:]
+	}
+	c.left = append(c.left[:0], p...)
+	if c.failed {
+		c.left = nil
+	} else {
+		c.giveBack()
+	}
+	return c.events
+}
+
+// step takes a frame's header or its payload, and returns how many bytes that was; 0: more must come, or the connection
+// has failed.
+func (c *Conn) step(p []byte) int {
+	if c.header == nil {
+		if len(p) < frameHeader {
+			return 0
+		}
+		c.source.b = p[:frameHeader]
+		h, err := c.framer.ReadFrameHeader()
+		if err != nil {
+			c.framing(err)
+			return 0
+		}
+		c.header = &h
+		return frameHeader
+	}
+	n := int(c.header.Length)
+	if len(p) < n {
+		return 0
+	}
+	c.source.b = p[:n]
+	h := *c.header
+	c.header = nil
+	f, err := c.framer.ReadFrameForHeader(h)
+	switch {
+	case err != nil && (h.Type == http2.FrameHeaders || h.Type == http2.FrameContinuation): // its block is lost to HPACK
+		c.fail(http2.ErrCodeProtocol, "the frame can't be taken: "+err.Error())
+	case err != nil && h.Type == http2.FramePriority && h.StreamID != 0: // the framer is stricter than RFC 9113, 6.3
+		c.reset(h.StreamID, http2.ErrCodeFrameSize)
+	case err != nil:
+		c.framing(err)
+	default:
+		c.frame(f)
+	}
+	if n == 0 && !c.failed {
+		return c.step(p) // a frame without payload: go on with the next
+	}
+	return n
+}
+
+// framing takes an error that the framer found.
+func (c *Conn) framing(err error) {
+	switch e := err.(type) {
+	case http2.StreamError:
+		c.reset(e.StreamID, e.Code)
+	case http2.ConnectionError:
+		c.fail(http2.ErrCode(e), "the frame can't be taken: "+err.Error())
+	default: // too large: the framer has read no more than the header
+		c.fail(http2.ErrCodeFrameSize, "the frame can't be taken: "+err.Error())
+	}
+}
+
+// frame takes a whole frame.
+func (c *Conn) frame(f http2.Frame) {
+	if _, ok := f.(*http2.SettingsFrame); !ok && !c.greeted {
+		c.fail(http2.ErrCodeProtocol, "the first frame is not SETTINGS")
+		return
+	}
+	switch f := f.(type) {
+	case *http2.HeadersFrame:
+		c.headers(f)
+	case *http2.ContinuationFrame:
+		c.continued(f)
+	case *http2.DataFrame:
+		c.data(f)
+	case *http2.RSTStreamFrame:
+		c.resetByPeer(f)
+	case *http2.SettingsFrame:
+		c.settings(f)
+	case *http2.PingFrame:
+		if c.charge(1) && !f.IsAck() {
+			c.written(c.framer.WritePing(true, f.Data))
+		}
+	case *http2.GoAwayFrame:
+		if c.charge(1) && !c.away {
+			c.away = true
+			c.events = append(c.events, Event{Kind: Away, Code: f.ErrCode})
+		}
+	case *http2.WindowUpdateFrame:
+		c.windowUpdate(f)
+	case *http2.PriorityFrame: // deprecated (RFC 9113, 5.3.2), but for its one error
+		if c.charge(1) && f.StreamDep == f.StreamID {
+			c.fail(http2.ErrCodeProtocol, "a stream depends on itself")
+		}
+	case *http2.PushPromiseFrame:
+		c.fail(http2.ErrCodeProtocol, "PUSH_PROMISE from a client")
+	default:
+		c.charge(1) // of a type that is not known (RFC 9113, 5.5)
+	}
+}
+
+// charge takes from the store of calm. It reports false, and ends the connection, if there is not enough.
+func (c *Conn) charge(n float64) bool {
+	if c.now > c.calmed {
+		c.calm = min(c.limits.Calm.Most, c.calm+c.limits.Calm.PerSecond*(c.now-c.calmed).Seconds())
+		c.calmed = c.now
+	}
+	if c.calm -= n; c.calm < 0 {
+		c.fail(http2.ErrCodeEnhanceYourCalm, "too much that asks for nothing")
+		return false
+	}
+	return true
+}
+
+// fail ends the connection: GOAWAY is the last that goes out. What was open on it is left, in the order of streams.
+func (c *Conn) fail(code http2.ErrCode, why string) {
+	if c.failed {
+		return
+	}
+	c.failed = true
+	c.written(c.framer.WriteGoAway(c.last, code, []byte(why)))
+	for _, id := range c.ids() {
+		if c.streams[id].told {
+			c.events = append(c.events, Event{Kind: Left, Stream: id, Code: code})
+		}
+	}
+	clear(c.streams)
+	c.waiting, c.unsent = nil, 0
+	c.events = append(c.events, Event{Kind: Ended, Code: code, Why: why})
+}
+
+func (c *Conn) ids() []uint32 {
+	all := make([]uint32, 0, len(c.streams))
+	for id := range c.streams {
+		all = append(all, id)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// reset ends a stream for an error of the peer's. Each costs calm: a peer that makes this end reset streams that it
+// has begun could else have work done without limit (CVE-2025-8671).
+func (c *Conn) reset(id uint32, code http2.ErrCode) {
+	if c.idle(id) {
+		c.fail(code, "an error on a stream that was never begun")
+		return
+	}
+	if !c.charge(1) {
+		return
+	}
+	c.written(c.framer.WriteRSTStream(id, code))
+	if s := c.streams[id]; s != nil {
+		c.forget(s, true)
+		if s.told {
+			c.events = append(c.events, Event{Kind: Left, Stream: id, Code: code})
+		}
+		return
+	}
+	c.past[id/2%pastKept] = closed{id, true}
+}
+
+// forget drops a stream that is closed.
+func (c *Conn) forget(s *stream, mine bool) {
+	delete(c.streams, s.id)
+	c.past[s.id/2%pastKept] = closed{s.id, mine}
+	c.unsent -= len(s.unsent)
+	s.unsent = nil
+	if i := slices.Index(c.waiting, s.id); i >= 0 {
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+	}
+	if !s.told {
+		c.owed += s.got // its body will not be handed on
+	}
+}
+
+// idle reports that the peer can't know the stream: it has not begun it, or it is not the peer's to begin.
+func (c *Conn) idle(id uint32) bool { return id%2 == 0 || id > c.last }
+
+// gone reports whether a stream that is not open was closed lately, and by whom.
+func (c *Conn) gone(id uint32) (known, mine bool) {
+	p := c.past[id/2%pastKept]
+	return p.id == id, p.id == id && p.mine
+}
+
+// resetByPeer takes RST_STREAM. Opening and resetting streams in a row is paid for (CVE-2023-44487).
+func (c *Conn) resetByPeer(f *http2.RSTStreamFrame) {
+	if c.idle(f.StreamID) {
+		c.fail(http2.ErrCodeProtocol, "RST_STREAM on a stream that was never begun")
+		return
+	}
+	if !c.charge(1) {
+		return
+	}
+	if s := c.streams[f.StreamID]; s != nil {
+		c.forget(s, false)
+		if s.told {
+			c.events = append(c.events, Event{Kind: Left, Stream: s.id, Code: f.ErrCode})
+		}
+	}
+}
+
+// settings takes SETTINGS (RFC 9113, 6.5), in their order.
+func (c *Conn) settings(f *http2.SettingsFrame) {
+	if !c.greeted && f.IsAck() {
+		c.fail(http2.ErrCodeProtocol, "the first frame is not SETTINGS")
+		return
+	}
+	c.greeted = true
+	if !c.charge(1) || f.IsAck() {
+		return
+	}
+	for i := range f.NumSettings() {
+		if err := c.setting(f.Setting(i)); err != nil {
+			c.framing(err)
+			return
+		}
+	}
+	c.written(c.framer.WriteSettingsAck())
+	c.push()
+}
+
+func (c *Conn) setting(s http2.Setting) error {
+	if err := s.Valid(); err != nil {
+		return err
+	}
+	switch s.ID {
+	case http2.SettingHeaderTableSize:
+		c.encoder.SetMaxDynamicTableSize(min(s.Val, tableSize))
+	case http2.SettingInitialWindowSize:
+		more := int64(s.Val) - c.firstOut
+		c.firstOut = int64(s.Val)
+		for _, st := range c.streams { // may go below nothing (RFC 9113, 6.9.2)
+			if st.window += more; st.window > windowMost {
+				return http2.ConnectionError(http2.ErrCodeFlowControl)
+			}
+		}
+	}
+	return nil
+}
+
+// windowUpdate takes WINDOW_UPDATE. It is paid for, and what is sent gives back more than it takes.
+func (c *Conn) windowUpdate(f *http2.WindowUpdateFrame) {
+	if !c.charge(1) {
+		return
+	}
+	if f.StreamID == 0 {
+		if c.window += int64(f.Increment); c.window > windowMost {
+			c.fail(http2.ErrCodeFlowControl, "the connection's window is too large")
+			return
+		}
+		c.push()
+		return
+	}
+	if c.idle(f.StreamID) {
+		c.fail(http2.ErrCodeProtocol, "WINDOW_UPDATE on a stream that was never begun")
+		return
+	}
+	if s := c.streams[f.StreamID]; s != nil {
+		if s.window += int64(f.Increment); s.window > windowMost {
+			c.reset(s.id, http2.ErrCodeFlowControl)
+			return
+		}
+		c.push()
+	}
+}
+
+// data takes DATA. The whole frame counts against the windows, its padding too (RFC 9113, 6.1).
+func (c *Conn) data(f *http2.DataFrame) {
+	if c.idle(f.StreamID) {
+		c.fail(http2.ErrCodeProtocol, "DATA on a stream that was never begun")
+		return
+	}
+	n := int64(f.Length)
+	if c.room -= n; c.room < 0 {
+		c.fail(http2.ErrCodeFlowControl, "more DATA than the connection's window")
+		return
+	}
+	s, body := c.streams[f.StreamID], f.Data()
+	if len(body) < shortData && !f.StreamEnded() && !c.charge(1) {
+		return
+	}
+	if s == nil || s.whole {
+		c.owed += n
+		c.late(f.StreamID, s)
+		return
+	}
+	if s.room -= n; s.room < 0 {
+		c.owed += n
+		c.reset(s.id, http2.ErrCodeFlowControl)
+		return
+	}
+	if padding := n - int64(len(body)); padding > 0 {
+		c.owed += padding
+		if !f.StreamEnded() {
+			c.written(c.framer.WriteWindowUpdate(s.id, uint32(padding)))
+			s.room += padding
+		}
+	}
+	s.got += int64(len(body))
+	s.whole = f.StreamEnded()
+	switch {
+	case s.length >= 0 && s.got > s.length, f.StreamEnded() && s.length >= 0 && s.got != s.length:
+		c.reset(s.id, http2.ErrCodeProtocol) // malformed (RFC 9113, 8.1.1)
+	case s.refused:
+		c.owed += int64(len(body))
+		s.got -= int64(len(body))
+	case s.got > int64(c.limits.Body):
+		s.refused = true
+		c.events = append(c.events, Event{Kind: TooBig, Stream: s.id, Status: 413})
+	default:
+		s.req.Body = append(s.req.Body, body...)
+		if f.StreamEnded() {
+			c.whole(s)
+		}
+	}
+}
+
+// late takes what came on a stream that the peer has ended, or that is closed.
+func (c *Conn) late(id uint32, s *stream) {
+	_, mine := c.gone(id)
+	switch {
+	case s != nil:
+		c.reset(id, http2.ErrCodeStreamClosed)
+	case mine: // it crossed the RST_STREAM
+		c.charge(1)
+	default:
+		c.fail(http2.ErrCodeStreamClosed, "a frame on a stream that was closed")
+	}
+}
+
+// whole hands a request on.
+func (c *Conn) whole(s *stream) {
+	s.whole, s.told = true, true
+	c.owed += s.got
+	c.events = append(c.events, Event{Kind: Asked, Stream: s.id, Request: s.req})
+	s.req = nil
+}
+
+// giveBack opens the connection's window by what was handed on.
+func (c *Conn) giveBack() {
+	if c.owed > 0 {
+		c.written(c.framer.WriteWindowUpdate(0, uint32(c.owed)))
+		c.room += c.owed
+		c.owed = 0
+	}
+}
--- /dev/null
+++ b/internal/h2/wire/wire_test.go
@@ -0,0 +1,230 @@
+package wire
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"sloepick/internal/stand/seeds"
+)
+
+// holds checks what must be true of a connection at all times.
+func holds(t testing.TB, c *Conn) {
+	t.Helper()
+	unsent, waiting := 0, map[uint32]bool{}
+	for _, id := range c.waiting {
+		waiting[id] = true
+	}
+	for _, s := range c.streams {
+		unsent += len(s.unsent)
+		if (len(s.unsent) > 0) != waiting[s.id] {
+			t.Fatalf("stream %d with %d unsent bytes waits: %v", s.id, len(s.unsent), waiting[s.id])
+		}
+	}
+	switch l := c.limits; {
+	case len(c.waiting) != len(waiting), unsent != c.unsent, unsent > l.Unsent:
+		t.Fatalf("%d unsent bytes, counted as %d; %d streams wait, %d of them once", unsent, c.unsent, len(c.waiting), len(waiting))
+	case len(c.streams) > l.Streams:
+		t.Fatalf("%d streams", len(c.streams))
+	case len(c.left) > frameMost+frameHeader:
+		t.Fatalf("%d bytes are kept of a frame", len(c.left))
+	case !c.failed && (c.room < 0 || c.room > max(windowFirst, int64(l.Window)) || c.owed != 0):
+		t.Fatalf("the window is %d, %d of it owed", c.room, c.owed)
+	}
+}
+
+// What a connection makes of its bytes does not depend on how they are cut.
+func TestScriptsCutAnywhere(t *testing.T) {
+	p := newPlayer(t, small())
+	for _, w := range []string{"preface", "settings 3=7", "headers 1 post k=v", "data 1 30", "padded 1 20 9 end", "headers 3 open get", "continuation 3 a=b",
+		"ping", "data 3 0 end", "headers 5 end get K=v", "window 0 9", "rst 3 CANCEL", "goaway 0 NO_ERROR", "priority 7 7"} {
+		p.send(strings.Fields(w))
+	}
+	stream := bytes.Clone(p.bytes.Bytes())
+	run := func(cut func() int) string {
+		c, log := NewServer(small(), time.Hour), ""
+		for b := stream; len(b) > 0; {
+			n := min(cut(), len(b))
+			for _, e := range c.Feed(time.Hour, b[:n]) {
+				log += describe(e) + "\n"
+			}
+			holds(t, c)
+			b = b[n:]
+		}
+		return log
+	}
+	want := run(func() int { return len(stream) })
+	if n := strings.Count(want, "\n"); n < 6 {
+		t.Fatalf("only %d events:\n%s", n, want)
+	}
+	for n := 1; n < len(stream); n++ {
+		first := true
+		got := run(func() int {
+			if first {
+				first = false
+				return n
+			}
+			return len(stream)
+		})
+		if got != want {
+			t.Fatalf("cut at %d:\n%swant\n%s", n, got, want)
+		}
+	}
+	if got := run(func() int { return 1 }); got != want {
+		t.Fatalf("byte by byte:\n%swant\n%s", got, want)
+	}
+}
+
+// Random clients, rude ones among them, and a front that answers, resets and ends in any order: nothing is broken, each
+// request that was handed on is answered or left exactly once, and nothing is sent for it afterwards.
+func TestRandomClients(t *testing.T) {
+	seeds.Play(t, []uint64{1, 2, 3}, func(t *testing.T, seed uint64) {
+		r, asked := seeds.Rand(seed), 0
+		for range seeds.Rounds(150) {
+			asked += randomClient(t, r)
+		}
+		if asked < 100 {
+			t.Errorf("only %d requests were handed on", asked)
+		}
+	})
+}
+
+func randomClient(t *testing.T, r *rand.Rand) (asked int) {
+	p := newPlayer(t, small())
+	p.greet()
+	rude, open, next := r.IntN(8) == 0, map[uint32]bool{}, uint32(1)
+	id := func() uint32 { return 1 + 2*uint32(r.IntN(max(1, int(next)/2))) }
+	for range 200 {
+		switch k := r.IntN(14); k {
+		case 0, 1, 2:
+			p.send([]string{"headers", fmt.Sprint(next), "get", "k=v", "end"})
+			next += 2
+		case 3:
+			p.send([]string{"headers", fmt.Sprint(next), "post"})
+			p.send([]string{"data", fmt.Sprint(next), fmt.Sprint(r.IntN(130))})
+			next += 2
+		case 4:
+			p.send([]string{"rst", fmt.Sprint(id()), "CANCEL"})
+		case 5:
+			p.send([]string{"window", fmt.Sprint(id()), fmt.Sprint(1 + r.IntN(1000))})
+		case 6:
+			p.send([]string{"window", "0", fmt.Sprint(1 + r.IntN(70000))})
+		case 7:
+			p.send([]string{"settings", fmt.Sprintf("4=%d", r.IntN(70000))})
+		case 8:
+			if rude {
+				p.send([]string{"frame", fmt.Sprint(r.IntN(11)), fmt.Sprint(r.IntN(256)), fmt.Sprint(r.IntN(9)), strings.Repeat("00", r.IntN(12))})
+			}
+		case 9:
+			p.c.Reset(id(), http2.ErrCodeCancel)
+		case 10:
+			p.c.Stalled(p.now - time.Duration(r.IntN(4))*time.Second)
+		default:
+			id := id()
+			if answered := p.c.Respond(id, 200, []hpack.HeaderField{{Name: "k", Value: "v"}}, make([]byte, r.IntN(70000))); answered && !open[id] {
+				t.Fatalf("stream %d was answered, which nobody waits for", id)
+			} else if answered {
+				delete(open, id)
+			}
+		}
+		p.now += time.Duration(r.IntN(2000)) * time.Millisecond
+		events := p.c.Feed(p.now, p.bytes.Bytes())
+		p.bytes.Reset()
+		for _, e := range events {
+			switch e.Kind {
+			case Asked:
+				asked++
+				open[e.Stream] = true
+			case TooBig:
+				p.c.Respond(e.Stream, e.Status, nil, nil)
+			case Left:
+				delete(open, e.Stream)
+			}
+		}
+		p.told(nil) // what goes out can be read
+		holds(t, p.c)
+		if p.c.Failed() {
+			break
+		}
+	}
+	return asked
+}
+
+// BenchmarkRequest is a small request and its answer of 64 bytes.
+func BenchmarkRequest(b *testing.B) {
+	c := NewServer(DefaultLimits(), 0)
+	var in, encoded bytes.Buffer
+	framer, encoder := http2.NewFramer(&in, nil), hpack.NewEncoder(&encoded)
+	in.WriteString(http2.ClientPreface)
+	framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 1 << 20})
+	framer.WriteWindowUpdate(0, 1<<30)
+	answer, fields := make([]byte, 64), []hpack.HeaderField{{Name: "content-type", Value: "application/octet-stream"}}
+	id := uint32(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		encoded.Reset()
+		for _, f := range []hpack.HeaderField{{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"}, {Name: ":path", Value: "/v1/ask/slot-lookup"},
+			{Name: "sloepick-customer", Value: "00000000b4d65521"}, {Name: "sloepick-plan", Value: "plus"}} {
+			encoder.WriteField(f)
+		}
+		framer.WriteHeaders(http2.HeadersFrameParam{StreamID: id, EndStream: true, EndHeaders: true, BlockFragment: encoded.Bytes()})
+		if id%1024 == 1 {
+			framer.WriteWindowUpdate(0, 64*512)
+		}
+		if got := c.Feed(0, in.Bytes()); len(got) != 1 || !c.Respond(id, 200, fields, answer) {
+			b.Fatal(got)
+		}
+		in.Reset()
+		c.Out()
+		id += 2
+	}
+}
+
+// FuzzConn feeds whatever bytes, cut in two, with answers in between.
+func FuzzConn(f *testing.F) {
+	for _, name := range []string{"requests", "streams", "floods"} {
+		text, err := os.ReadFile(filepath.Join("testdata", name+".txt"))
+		if err != nil {
+			f.Fatal(err)
+		}
+		for _, part := range strings.Split("\n"+string(text), "\n== ")[1:] {
+			p := newPlayer(nil, small())
+			if !strings.Contains(part, "(raw)\n") {
+				p.greet()
+				p.send([]string{"preface"})
+				p.send([]string{"settings"})
+			}
+			for _, line := range strings.Split(part, "\n") {
+				if strings.HasPrefix(line, "> ") {
+					p.send(strings.Fields(line[2:]))
+				}
+			}
+			f.Add(p.bytes.Bytes(), uint16(len(part)))
+		}
+	}
+	f.Fuzz(func(t *testing.T, b []byte, cut uint16) {
+		c, now := NewServer(small(), time.Hour), time.Hour
+		at := int(cut) % (len(b) + 1)
+		for _, p := range [][]byte{b[:at], b[at:]} {
+			for _, e := range c.Feed(now, p) {
+				if e.Kind == Asked || e.Kind == TooBig {
+					c.Respond(e.Stream, 200, nil, make([]byte, int(cut)))
+				}
+			}
+			if !c.Failed() {
+				holds(t, c)
+			}
+			now += time.Second
+		}
+		c.Stalled(now)
+		c.Out()
+	})
+}
