--- a/decide/api.go
+++ b/decide/api.go
@@ -365,6 +365,7 @@
 	Refuse struct {
 		ID         string
 		RetryAfter time.Duration // 0: no advice
+		Quota      bool          // it is the customer's quota that has no room; else it is the servers, or an attempt that never ran
 	}
 	// Fail is a final answer that promises nothing.
 	Fail struct{ ID string }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -719,9 +719,13 @@
 	switch {
 	case g.mesh:
 		g.decide(r, g.admit(c, r))
-	case c.shut > g.now || g.shed(r): // a home is not asked in vain
+	case c.shut > g.now: // a home is not asked in vain
 		c.asked.add(g.now, r.units)
 		g.decide(r, false)
+	case g.shed(r):
+		c.asked.add(g.now, r.units)
+		r.shed = true
+		g.decide(r, false)
 	default:
 		c.asked.add(g.now, r.units)
 		g.askNo = g.askNo%4095 + 1
@@ -742,7 +746,7 @@
 		if !room {
 			wait = g.roomIn(r.cust, r.units)
 		}
-		g.refuse(r.ID, wait)
+		g.refuse(r.ID, wait, !room && !r.shed)
 		g.finish(r)
 		return
 	}
@@ -774,8 +778,8 @@
 	return g.pressed() > f || g.rng.Float64() > math.Pow(g.flow, g.thin()*g.thin()*(1+1/f)/2)
 }
 
-func (g *Gateway) refuse(id string, wait time.Duration) {
-	a := Refuse{ID: id}
+func (g *Gateway) refuse(id string, wait time.Duration, quota bool) {
+	a := Refuse{ID: id, Quota: quota}
 	if g.cfg.Limits.RetryAfter {
 		a.RetryAfter = min(g.cfg.Limits.MaxRetryAfter, wait)
 	}
@@ -1007,7 +1011,7 @@
 		if r.Bounds != nil && r.Bounds.Advice > 0 {
 			advice = r.Bounds.Advice
 		}
-		g.refuse(r.ID, advice)
+		g.refuse(r.ID, advice, false)
 	} else {
 		g.do(Fail{r.ID})
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -157,6 +157,7 @@
 	attempts            []*attempt
 	out                 int
 	streaming, finished bool
+	shed                bool   // the servers are pressed
 	no                  uint64 // of the question to the home
 	asked               int    // questions put
 	askedAt             time.Duration
--- /dev/null
+++ b/internal/blocks/listener.go
@@ -0,0 +1,83 @@
+package blocks
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"strconv"
+
+	"sloepick/internal/h2"
+	"sloepick/internal/operator"
+)
+
+// listenerBlock declares the block listener.
+func listenerBlock() *operator.Block {
+	return &operator.Block{
+		Name: "listener", Labels: true, Check: checkListener,
+		Doc: "A listener for clients that speak HTTP/2, beside RESP2's, which the platform's file names. Without one there is none.",
+		Keys: []operator.Key{
+			{Name: "address", Kind: operator.Text, Takes: operator.AtRestart, Doc: "Where it listens, as \"host:port\"."},
+			{Name: "streams", Kind: operator.Count, Default: "100", Least: "1", Most: "1000", Sense: operator.MoreIsLooser, Takes: operator.AtRestart,
+				Doc: "Requests open at once on a connection; more are refused by REFUSED_STREAM."},
+		},
+		Blocks: []*operator.Block{{
+			Name: "tls", Doc: "The listener's identity. Without the block it is plain TCP, for clients with prior knowledge. The files are read again at each reload.",
+			Keys: []operator.Key{
+				{Name: "certificate", Kind: operator.Text, Optional: true, Takes: operator.AtRestart, Doc: "A file of PEM: the certificate and those between it and its authority. Paths are relative to the file that names them."},
+				{Name: "key", Kind: operator.Text, Optional: true, Takes: operator.AtRestart, Doc: "A file of PEM: its key."},
+				{Name: "clients", Kind: operator.Text, Optional: true, Takes: operator.AtRestart, Doc: "A file of PEM: authorities. Clients must show a certificate of theirs. Left out: none is asked for."},
+				{Name: "bind", Kind: operator.Word, Words: []string{"none", "customer"}, Default: "none", Takes: operator.AtRestart,
+					Doc: "customer: a client may ask only for the customer that is the common name of its certificate."},
+				{Name: "handshake", Kind: operator.Duration, Default: "2s", Least: "100ms", Most: "1m", Sense: operator.MoreIsLooser, Takes: operator.AtRestart,
+					Doc: "Time for a TLS handshake."},
+			},
+		}},
+	}
+}
+
+func checkListener(s *operator.Section) (out []operator.Problem) {
+	host, port, err := net.SplitHostPort(s.Word("address"))
+	if n, e := strconv.ParseUint(port, 10, 16); err != nil || e != nil || net.ParseIP(host) == nil && host != "localhost" {
+		out = append(out, operator.Problem{Key: "address", Msg: fmt.Sprintf("%q is not an IP address and a port, as in \"127.0.0.1:8443\"", s.Word("address"))})
+	} else if n == 0 {
+		out = append(out, operator.Problem{Key: "address", Msg: "the port must be told"})
+	}
+	t := s.One("tls")
+	if !t.Present() {
+		return out
+	}
+	for _, key := range []string{"certificate", "key"} {
+		if !t.Has(key) {
+			out = append(out, operator.Problem{Key: "tls." + key, Msg: "tls needs a certificate and a key"})
+		}
+	}
+	if t.Word("bind") == "customer" && !t.Has("clients") {
+		out = append(out, operator.Problem{Key: "tls.bind", Msg: "to bind clients to customers their certificates must be asked for: name clients"})
+	}
+	return out
+}
+
+// Listeners reads the listeners of a checked configuration.
+func Listeners(c *operator.Config) (all []h2.Listener) {
+	for _, s := range c.All("listener") {
+		l := h2.Listener{Name: s.Label, Address: s.Word("address"), Streams: s.Count("streams")}
+		if t := s.One("tls"); t.Present() {
+			l.Shake = t.Duration("handshake")
+			l.Files = &h2.Files{Certificate: beside(t, "certificate"), Key: beside(t, "key"), Bind: t.Word("bind") == "customer"}
+			if t.Has("clients") {
+				l.Files.Clients = beside(t, "clients")
+			}
+		}
+		all = append(all, l)
+	}
+	return all
+}
+
+// beside is a path as the file means it that names it.
+func beside(s *operator.Section, key string) string {
+	path := s.Word(key)
+	if filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(filepath.Dir(s.Pos(key).Src.Name), path)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"sloepick/internal/blocks"
 	"sloepick/internal/gateway"
+	"sloepick/internal/h2"
 	"sloepick/internal/operator"
 	"sloepick/internal/route"
 	"sloepick/internal/sloe"
@@ -67,6 +68,14 @@
 		r.warn(warnings)
 		cfg.Tuning, cfg.Routes = tuning.From(r.now), route.From(r.now)
 		level.Set(blocks.Level(r.now))
+		for _, l := range blocks.Listeners(r.now) {
+			f, err := h2.NewFront(l)
+			if err != nil {
+				return err
+			}
+			r.fronts = append(r.fronts, f)
+			cfg.Fronts = append(cfg.Fronts, f)
+		}
 	}
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	debug.SetGCPercent(gcPercent)
@@ -142,6 +151,7 @@
 	log     *slog.Logger
 	level   *slog.LevelVar
 	reloads chan gateway.Reload
+	fronts  []*h2.Front
 }
 
 func (r *reloader) run(ctx context.Context, hup <-chan os.Signal) {
@@ -180,6 +190,17 @@
 	}
 	t := tuning.From(c)
 	next.Tuning, next.Routes = &t, route.From(c)
+	var takes []func()
+	for _, f := range r.fronts {
+		take, err := f.Reload()
+		if err != nil {
+			return gateway.Reload{}, nil, err
+		}
+		takes = append(takes, take)
+	}
+	for _, take := range takes {
+		take()
+	}
 	r.foresee(next.Routes)
 	return next, c, nil
 }
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -32,6 +31,7 @@
 // client is a connection of a client.
 type client struct {
 	outlet
+	l       *loop
 	slots   []*slot // in the order of the commands
 	backlog []byte  // answers behind those that are being written
 	used    time.Duration
@@ -95,15 +95,11 @@
 
 func (e joined) apply(l *loop) {
 	<-l.ahead
-	if len(l.clients) >= sockets(l.cfg.Sockets, l.tune.Load().Clients.Descriptors) {
-		l.evictClient()
-	}
-	if len(l.clients) >= l.cfg.Sockets-leastSockets {
+	e.c.used = l.clock.now()
+	if !l.admit(e.c) {
 		e.c.conn.Close() // unread: the client sends what it may have written once more, elsewhere
 		return
 	}
-	e.c.used = l.clock.now()
-	l.clients[e.c] = struct{}{}
 	r := reader{c: e.c, cfg: &l.cfg, clock: l.clock, tune: l.tune, post: l.in.post}
 	go r.run()
 	if l.closing {
@@ -111,18 +107,42 @@
 	}
 }
 
+// admit counts a client's connection among the descriptors. It reports false if there is no room.
+func (l *loop) admit(c Conn) bool {
+	if len(l.clients) >= sockets(l.cfg.Sockets, l.tune.Load().Clients.Descriptors) {
+		l.evictClient()
+	}
+	if len(l.clients) >= l.cfg.Sockets-leastSockets {
+		return false
+	}
+	l.clients[c] = struct{}{}
+	return true
+}
+
+// Quiet reports that nothing is owed on the connection.
+func (c *client) Quiet() bool { return len(c.slots) == 0 && !c.busy && !c.ending }
+
+// Used is when it was last answered, or came.
+func (c *client) Used() time.Duration { return c.used }
+
+// Wean ends it between requests.
+func (c *client) Wean() { c.l.wean(c) }
+
+// Close ends it at once.
+func (c *client) Close() { c.l.closeClient(c) }
+
 // evictClient makes room for a new connection by closing the one that has been quiet for longest. (Closing those
 // that have not asked yet in its place was measured: in a crowd of newcomers it is they who are about to ask.) If
 // all are owed answers nothing is closed, and the new one takes from the servers' share of descriptors.
 func (l *loop) evictClient() {
-	var quiet *client
+	var quiet Conn
 	for c := range l.clients {
-		if len(c.slots) == 0 && !c.busy && !c.ending && (quiet == nil || c.used < quiet.used) {
+		if c.Quiet() && (quiet == nil || c.Used() < quiet.Used()) {
 			quiet = c
 		}
 	}
 	if quiet != nil {
-		l.wean(quiet)
+		quiet.Wean()
 	}
 }
 
@@ -226,26 +246,37 @@
 
 // acceptClients takes connections until the listener is closed or the context ends. Only so many are taken
 // ahead of the loop, which bounds the descriptors: hundreds that come at once wait in the kernel.
-func acceptClients(ctx context.Context, ln net.Listener, ahead chan<- struct{}, post func(event), log *slog.Logger) {
+func acceptClients(ctx context.Context, ln net.Listener, l *loop) {
+	l.accepting(ctx, ln, func(conn net.Conn) event {
+		out, err := newOutlet(conn)
+		if err != nil {
+			l.log.Error("accepting a connection", "err", err)
+			return nil
+		}
+		return joined{newClient(l, out)}
+	})
+}
+
+// accepting takes connections and posts what comes of each; nil: nothing, and the connection is closed.
+func (l *loop) accepting(ctx context.Context, ln net.Listener, take func(net.Conn) event) {
 	for {
 		conn, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			log.Warn("accepting a connection", "err", err)
+			l.log.Warn("accepting a connection", "err", err)
 			sleep(ctx, 10*time.Millisecond) // out of descriptors: some may be free then
 			continue
 		}
-		out, err := newOutlet(conn)
-		if err != nil {
-			log.Error("accepting a connection", "err", err)
+		e := take(conn)
+		if e == nil {
 			conn.Close()
 			continue
 		}
 		select {
-		case ahead <- struct{}{}:
-			post(joined{newClient(out)})
+		case l.ahead <- struct{}{}:
+			l.in.post(e)
 		case <-ctx.Done():
 			conn.Close()
 			return
@@ -253,4 +284,6 @@
 	}
 }
 
-func newClient(out outlet) *client { return &client{outlet: out, resume: make(chan struct{}, 1)} }
+func newClient(l *loop, out outlet) *client {
+	return &client{outlet: out, l: l, resume: make(chan struct{}, 1)}
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -32,6 +32,7 @@
 	Settings   settings.Settings
 	Tuning     tuning.Tuning  // the zero value: what holds without an operator file
 	Routes     []*route.Route // proven by Prove; none: the module's own bounds hold
+	Fronts     []Front        // beside RESP2's, which always listens; none without an operators' file
 }
 
 // fileConfig is the form of the configuration file.
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -16,6 +16,9 @@
 	value []byte        // of what was served: the node's value; of what is ready: the front's own bytes
 	after time.Duration // of what was refused: when to come again; 0: no advice
 	why   string        // of what failed or was turned away
+	quota bool          // of what was refused: the customer's quota has no room
+	late  bool          // of what failed: time was up
+	taken bool          // of what was turned away: a request with its id is open
 }
 
 type endKind int
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -125,6 +125,15 @@
 	done     bool
 }
 
+// ranOut reports whether a request that failed did so for want of time: its last attempt was still out, or timed out.
+func (r *request) ranOut() bool {
+	if len(r.attempts) == 0 {
+		return false
+	}
+	a := r.attempts[len(r.attempts)-1]
+	return !a.over || a.outcome == decide.TimedOut
+}
+
 // loop owns the decision module and all that changes. Only its own goroutine touches it.
 type loop struct {
 	cfg      Config
@@ -139,11 +148,13 @@
 	ids      map[string]struct{} // of the requests that are owed an answer, as their clients named them
 	nextID   uint64
 	pool     pool
-	clients  map[*client]struct{}
+	clients  map[Conn]struct{}
 	tune     *atomic.Pointer[tuning.Tuning] // stored by the loop, read by the goroutines of connections too
 	routes   *route.Table                   // nil: none
 	ahead    chan struct{}                  // holds one for each connection that was taken and is not counted yet
 	held     int                            // bytes of the commands of open requests
+	after    []func()                       // to be done once the turn's events are handled
+	closed   chan struct{}                  // closed when nothing new is taken
 	closing  bool
 	restarts int
 }
@@ -156,7 +167,7 @@
 
 func newLoop(cfg Config, log *slog.Logger) (*loop, error) {
 	l := &loop{cfg: cfg, log: log, clock: newClock(), in: newInbox(), requests: map[string]*request{},
-		ids: map[string]struct{}{}, clients: map[*client]struct{}{}, tune: &atomic.Pointer[tuning.Tuning]{}}
+		ids: map[string]struct{}{}, clients: map[Conn]struct{}{}, tune: &atomic.Pointer[tuning.Tuning]{}, closed: make(chan struct{})}
 	if cfg.Tuning == (tuning.Tuning{}) {
 		cfg.Tuning = tuning.Default()
 	}
@@ -203,7 +214,18 @@
 		case <-timer.C:
 		}
 		l.ring()
+		l.settle()
+	}
+}
+
+// settle does what waits for the end of a turn, such as writing all answers of a connection at once.
+func (l *loop) settle() {
+	for i := 0; i < len(l.after); i++ {
+		l.after[i]()
+		l.after[i] = nil
+		l.drainTodo()
 	}
+	l.after = l.after[:0]
 }
 
 // ring makes the calls that are due.
@@ -289,11 +311,11 @@
 		}
 	case decide.Refuse:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, ending{kind: endRefused, after: a.RetryAfter})
+			l.answer(r, ending{kind: endRefused, after: a.RetryAfter, quota: a.Quota})
 		}
 	case decide.Fail:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, ending{kind: endFailed, why: "failed"})
+			l.answer(r, ending{kind: endFailed, why: "failed", late: r.ranOut()})
 		}
 	case decide.SetTimer:
 		core := l.core
@@ -327,7 +349,7 @@
 		return nil
 	}
 	if _, open := l.ids[cmd.id()]; open { // two of one id must never meet one another's answer
-		from.ended(l, ending{kind: endRejected, why: "a request with this id is open"})
+		from.ended(l, ending{kind: endRejected, why: "a request with this id is open", taken: true})
 		return nil
 	}
 	l.nextID++
@@ -383,7 +405,7 @@
 		return
 	}
 	l.log.Error("a request was left open past its deadline", "class", r.cmd.req.Class, "attempts", len(r.attempts))
-	l.answer(r, ending{kind: endFailed, why: "failed"})
+	l.answer(r, ending{kind: endFailed, why: "failed", late: true})
 	l.feed(decide.ClientGone{ID: r.id})
 }
 
@@ -446,7 +468,7 @@
 	if a.over {
 		return
 	}
-	a.over = true
+	a.over, a.outcome = true, o
 	l.unset(a.expiry)
 	r := a.req
 	r.out--
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClient(out)
+	c := newClient(l, out)
 	l.clients[c] = struct{}{}
 	got := interpret(&l.cfg, [][]byte{[]byte("Q.ASK"), []byte(customer), []byte("id"),
 		[]byte("c=look,t=p,d=30000,units=1,spread=2,first=0")}, l.clock.now())
@@ -132,7 +132,7 @@
 		t.Errorf("%d requests are open, new module %v", len(l.requests), l.core != broken)
 	}
 	for c := range l.clients {
-		l.closeClient(c)
+		c.Close()
 	}
 	if got := text(t, far); got != "-ERR internal error\r\n" {
 		t.Errorf("the client got %q", got)
--- a/internal/gateway/rude_test.go
+++ b/internal/gateway/rude_test.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClient(out)
+	c := newClient(l, out)
 	join(l, c)
 	return c, far
 }
@@ -130,7 +130,7 @@
 	if _, err := io.WriteString(far, "*1\r\n$4\r\nPING\r\n"); err != nil {
 		t.Fatal(err)
 	}
-	c := newClient(out)
+	c := newClient(l, out)
 	for c.quiet() { // the kernel has it before the reader is started
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -41,6 +41,12 @@
 		return fmt.Errorf("listening for clients: %w", err)
 	}
 	defer ln.Close()
+	for _, f := range cfg.Fronts {
+		if err := f.Listen(ctx); err != nil {
+			return err
+		}
+		defer f.Close()
+	}
 	return serve(ctx, cfg, reloads, ln, log)
 }
 
@@ -63,7 +69,10 @@
 	moves := make(chan netip.AddrPort)
 	wg.Go(func() { takeReloads(inner, reloads, moves, l.in.post) })
 	wg.Go(func() { follow(inner, cfg.Discovery, moves, l.in.post, log) })
-	wg.Go(func() { acceptClients(inner, ln, l.ahead, l.in.post, log) })
+	wg.Go(func() { acceptClients(inner, ln, l) })
+	for _, f := range cfg.Fronts {
+		wg.Go(func() { f.Serve(inner, &Door{l}) })
+	}
 	wg.Go(func() {
 		select {
 		case <-ctx.Done():
@@ -124,13 +133,14 @@
 	l.at(now+t.Accept, func() {
 		s.ln.Close()
 		l.closing = true
+		close(l.closed)
 		for c := range l.clients {
-			l.wean(c)
+			c.Wean()
 		}
 	})
 	l.at(now+max(t.Longest, l.longestWait()+t.Accept+t.LastCall), func() {
 		for c := range l.clients {
-			l.closeClient(c)
+			c.Close()
 		}
 	})
 }
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClient(out)
+	c := newClient(l, out)
 	l.clients[c] = struct{}{}
 	answer := redcon.AppendBulk(nil, bytes.Repeat([]byte("x"), valueMost))
 	for n := 0; !c.closed; n++ {
@@ -129,7 +129,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c := newClient(out)
+		c := newClient(l, out)
 		second := *first.cmd
 		second.args = append([][]byte{}, first.cmd.args...)
 		second.args[idArg] = []byte("id-2")
@@ -157,7 +157,7 @@
 		t.Fatal(err)
 	}
 	before := len(l.clients)
-	join(l, newClient(out))
+	join(l, newClient(l, out))
 	if got := text(t, far); got != "" || len(l.clients) != before {
 		t.Errorf("the client got %q, %d are kept of %d", got, len(l.clients), before)
 	}
@@ -171,7 +171,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClient(out)
+	c := newClient(l, out)
 	if _, err := io.WriteString(far, "*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -53,6 +53,7 @@
 	expiry    *alarm
 	whole     bool // the last byte may have been written
 	over      bool
+	outcome   decide.Outcome // once it is over
 }
 
 // pool keeps the servers and the connections to them.
--- /dev/null
+++ b/internal/h2/front_test.go
@@ -0,0 +1,663 @@
+package h2
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+
+	"sloepick/internal/gateway"
+	"sloepick/internal/stand"
+	"sloepick/internal/stand/seeds"
+	"sloepick/internal/tuning"
+)
+
+const (
+	patience = 20 * time.Second // for what must come; no test waits for it to pass
+	customer = "00000000b4d65521"
+)
+
+// rig is a gateway in this process, with RESP2's listener and one of HTTP/2, and a site of nodes.
+type rig struct {
+	t     *testing.T
+	site  *stand.Site
+	resp  string
+	front *Front
+	stop  context.CancelFunc
+	done  chan error
+}
+
+// platform is the clinic's, with quotas that don't refill while a test runs, and patient clients.
+func platform() *stand.Platform {
+	p := stand.Clinic()
+	for i := range p.Plans {
+		p.Plans[i].Rate, p.Plans[i].Ceiling = 0.01, stand.Ceiling{}
+	}
+	for i := range p.Classes {
+		p.Classes[i].Patience, p.Classes[i].Work = patience, time.Millisecond
+	}
+	p.Rules.Ceilings = nil
+	return p
+}
+
+func newRig(t *testing.T, p *stand.Platform, change func(*gateway.Config, *Listener)) *rig {
+	t.Helper()
+	r := &rig{t: t, done: make(chan error, 1)}
+	var err error
+	if r.site, err = stand.NewSite(p, 2); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.site.Close)
+	places, err := stand.Places(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := p.Config(0, places, r.site.Discovery.Addr().String(), 1, r.site.List())
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "platform.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := gateway.LoadConfig(func(name string) string { return map[string]string{"GW_CONFIG": file}[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Tuning = tuning.Default()
+	cfg.Tuning.Stop.Accept, cfg.Tuning.Stop.LastCall, cfg.Tuning.Clients.Fault = 50*time.Millisecond, 50*time.Millisecond, 100*time.Millisecond
+	l := Listener{Name: "test", Address: "127.0.0.1:0", Streams: 100, Shake: 5 * time.Second}
+	if change != nil {
+		change(&cfg, &l)
+	}
+	if r.front, err = NewFront(l); err != nil {
+		t.Fatal(err)
+	}
+	r.resp = places[0].Listen
+	cfg.Fronts = []gateway.Front{r.front}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.done <- gateway.Run(ctx, cfg, nil, slog.New(slog.DiscardHandler)) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case <-r.done:
+		case <-time.After(patience):
+			t.Error("the gateway does not end")
+		}
+	})
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		c, err := stand.Dial(r.resp)
+		if err == nil {
+			c.Close()
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+	return r
+}
+
+func (r *rig) dial(by *tls.Config, settings ...http2.Setting) *stand.H2Client {
+	r.t.Helper()
+	c, err := stand.DialH2(r.front.Addr().String(), by, settings...)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(c.Close)
+	if err := c.Conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		r.t.Fatal(err)
+	}
+	return c
+}
+
+func look(id string) stand.H2Request {
+	return stand.H2Request{Path: "/v1/ask/slot-lookup", Customer: customer, Plan: "network", ID: id, Patience: patience, Units: "1"}
+}
+
+func (r *rig) ask(c *stand.H2Client, q stand.H2Request) uint32 {
+	r.t.Helper()
+	id, err := c.Ask(q)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return id
+}
+
+func (r *rig) read(c *stand.H2Client) *stand.H2Answer {
+	r.t.Helper()
+	a, err := c.Read()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return a
+}
+
+func (r *rig) call(c *stand.H2Client, q stand.H2Request) *stand.H2Answer {
+	r.t.Helper()
+	id := r.ask(c, q)
+	a := r.read(c)
+	if a.Stream != id {
+		r.t.Fatalf("asked on %d, got %+v", id, a)
+	}
+	return a
+}
+
+// A request's values come to the node as by RESP2, and its answer carries the value, the bucket's room and the cost.
+func TestServed(t *testing.T) {
+	r := newRig(t, platform(), nil)
+	c := r.dial(nil)
+	a := r.call(c, look("one"))
+	if a.Status != 200 || string(a.Body) != stand.Value("one") || a.Fields["content-length"] != strconv.Itoa(len(a.Body)) {
+		t.Errorf("got %+v", a)
+	}
+	for name, want := range map[string]string{"ratelimit": `"network";r=17;t=1900`, "ratelimit-policy": `"network";q=36;w=3600`, "sloepick-cost": "1"} {
+		if a.Fields[name] != want {
+			t.Errorf("%s: got %q, want %q", name, a.Fields[name], want)
+		}
+	}
+	book := look("two")
+	book.Path, book.Key, book.Body, book.Units = "/v1/do/slot-book?x=y", `"k1"`, []byte("Tuesday 10:00"), "2"
+	if a := r.call(c, book); a.Status != 200 || a.Fields["sloepick-cost"] != "2" {
+		t.Errorf("got %+v", a)
+	}
+	got := r.site.Tally.Arrivals()
+	if len(got) != 2 || got[1].Key != "k1" || got[1].Units != 2 || got[1].Customer != customer || got[1].Class != "slot-book" {
+		t.Errorf("the nodes saw %+v", got)
+	}
+}
+
+// What can't be taken is answered before the module or a node hears of it, and each answer says that it never ran.
+func TestRejected(t *testing.T) {
+	r := newRig(t, platform(), nil)
+	c := r.dial(nil)
+	for name, x := range map[string]struct {
+		change func(*stand.H2Request)
+		status int
+		detail string
+	}{
+		"no customer":      {func(q *stand.H2Request) { q.Customer = "" }, 400, "sloepick-customer is missing"},
+		"no id":            {func(q *stand.H2Request) { q.ID = "" }, 400, "sloepick-id is missing"},
+		"no plan":          {func(q *stand.H2Request) { q.Plan = "" }, 400, "sloepick-plan is missing"},
+		"no patience":      {func(q *stand.H2Request) { q.Patience = 0 }, 400, "sloepick-patience is missing"},
+		"customer":         {func(q *stand.H2Request) { q.Customer = "x" }, 400, "16 hex digits"},
+		"plan with a list": {func(q *stand.H2Request) { q.Plan = "network,units=9" }, 400, "a comma"},
+		"key with a list":  {func(q *stand.H2Request) { q.Key = "a,k=b" }, 400, "a comma"},
+		"class":            {func(q *stand.H2Request) { q.Path = "/v1/ask/none" }, 400, "unknown class or plan"},
+		"class with space": {func(q *stand.H2Request) { q.Path = "/v1/ask/slot lookup" }, 400, "a comma, a space"},
+		"other command":    {func(q *stand.H2Request) { q.Path = "/v1/ask/slot-book" }, 400, "the other command"},
+		"keyed, no key":    {func(q *stand.H2Request) { q.Path = "/v1/do/slot-book" }, 400, "k is missing"},
+		"key with quotes":  {func(q *stand.H2Request) { q.Key = `"a"b"` }, 400, "idempotency-key can't be used"},
+		"units":            {func(q *stand.H2Request) { q.Units = "1e3" }, 400, "sloepick-units can't be used"},
+		"units, too many":  {func(q *stand.H2Request) { q.Units = "999" }, 400, "units are out of range"},
+		"set":              {func(q *stand.H2Request) { q.Set = "x;1" }, 400, "sloepick-set can't be used"},
+		"set, too many":    {func(q *stand.H2Request) { q.Set = "9;0" }, 400, "the set is out of range"},
+		"twice":            {func(q *stand.H2Request) { q.More = []string{"sloepick-id", "b"} }, 400, "sloepick-id comes twice"},
+		"path":             {func(q *stand.H2Request) { q.Path = "/v2/ask/slot-lookup" }, 404, "/v1/ask/CLASS"},
+		"method":           {func(q *stand.H2Request) { q.More = []string{":method", "GET"} }, 0, ""},
+		"body":             {func(q *stand.H2Request) { q.Body = bytes.Repeat([]byte("x"), 64<<10+1) }, 413, "larger"},
+		"fields": {func(q *stand.H2Request) {
+			q.More = []string{"a", strings.Repeat("x", 7000), "b", strings.Repeat("x", 2000)}
+		}, 431, "larger"},
+	} {
+		q := look("id")
+		x.change(&q)
+		id := r.ask(c, q)
+		a := r.read(c)
+		switch {
+		case x.status == 0: // malformed, so the stream's end
+			if !a.Reset || a.Code != http2.ErrCodeProtocol {
+				t.Errorf("%s: got %+v", name, a)
+			}
+		case a.Stream != id || a.Status != x.status || a.Fields["sloepick-ran"] != "never" || a.Fields["content-type"] != "application/problem+json" ||
+			!strings.Contains(string(a.Body), x.detail):
+			t.Errorf("%s: got %+v with %s", name, a, a.Body)
+		}
+	}
+	if got := r.site.Tally.Arrivals(); len(got) > 0 {
+		t.Errorf("the nodes saw %+v", got)
+	}
+}
+
+// Over the quota the answer is 429, at once, with when to come back and that it never ran.
+func TestOverTheQuota(t *testing.T) {
+	r := newRig(t, platform(), nil)
+	c := r.dial(nil)
+	for i := range 18 { // half of the burst is there at a start
+		if a := r.call(c, look(fmt.Sprint(i))); a.Status != 200 {
+			t.Fatalf("request %d: got %+v", i, a)
+		}
+	}
+	a := r.call(c, look("over"))
+	if ms, err := strconv.Atoi(a.Fields["sloepick-after"]); a.Status != 429 || a.Fields["sloepick-ran"] != "never" || err != nil || ms < 1 || a.Fields["retry-after"] == "" {
+		t.Errorf("got %+v", a)
+	}
+}
+
+// hold keeps nodes from answering until the test lets go.
+func (r *rig) hold() (let func()) {
+	gate := make(chan struct{})
+	for _, n := range r.site.Nodes {
+		n.Stall(func(stand.Arrival) time.Duration {
+			select {
+			case <-gate:
+			case <-time.After(patience):
+			}
+			return 0
+		})
+	}
+	return func() { close(gate) }
+}
+
+// arrived waits until so many requests have come to the nodes.
+func (r *rig) arrived(n int) {
+	r.t.Helper()
+	for end := time.Now().Add(patience); len(r.site.Tally.Arrivals()) < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("only %d requests came to the nodes", len(r.site.Tally.Arrivals()))
+		}
+	}
+}
+
+// A stream that is reset after its request was forwarded: nothing more comes on it, the quota is charged once, and the other
+// streams of the connection go on.
+func TestResetAfterForwarding(t *testing.T) {
+	r := newRig(t, platform(), nil)
+	let := r.hold()
+	c := r.dial(nil)
+	gone, stays := r.ask(c, look("gone")), r.ask(c, look("stays"))
+	r.arrived(2)
+	if err := c.Framer.WriteRSTStream(gone, http2.ErrCodeCancel); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Framer.WritePing(false, [8]byte{}); err != nil { // behind it, so that it was taken
+		t.Fatal(err)
+	}
+	let()
+	a := r.read(c)
+	if a.Stream != stays || a.Status != 200 || a.Fields["ratelimit"] != `"network";r=16;t=2000` {
+		t.Errorf("got %+v, want an answer on %d", a, stays)
+	}
+	if a := r.call(c, look("after")); a.Status != 200 || a.Fields["ratelimit"] != `"network";r=15;t=2100` {
+		t.Errorf("got %+v", a)
+	}
+}
+
+// An id that is open by one protocol is turned away by the other, and each gets its own answer.
+func TestOneIDByBothProtocols(t *testing.T) {
+	r := newRig(t, platform(), nil)
+	let := r.hold()
+	old, err := stand.Dial(r.resp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	if err := old.Send("Q.ASK", customer, "same", "c=slot-lookup,t=network,d=20000"); err != nil {
+		t.Fatal(err)
+	}
+	r.arrived(1)
+	c := r.dial(nil)
+	if a := r.call(c, look("same")); a.Status != 409 {
+		t.Errorf("got %+v", a)
+	}
+	let()
+	if got, err := old.Read(); err != nil || got != "$"+stand.Value("same") {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+// The gateway's end: two GOAWAYs, what was open and what crossed the first is answered, and then the connection ends.
+func TestEndInTwoSteps(t *testing.T) {
+	r := newRig(t, platform(), func(cfg *gateway.Config, _ *Listener) {
+		cfg.Tuning.Stop.LastCall = 2 * time.Second // in which the test must send the request that crosses
+	})
+	let := r.hold()
+	c := r.dial(nil)
+	open := r.ask(c, look("open"))
+	r.arrived(1)
+	r.stop()
+	if a := r.read(c); !a.Away || a.Code != http2.ErrCodeNo || a.Last != 1<<31-1 {
+		t.Fatalf("got %+v", a)
+	}
+	crossed := r.ask(c, look("crossed"))
+	r.arrived(2)
+	if a := r.read(c); !a.Away || a.Last != crossed {
+		t.Fatalf("got %+v", a)
+	}
+	let()
+	answered := map[uint32]int{}
+	for range 2 {
+		a := r.read(c)
+		answered[a.Stream] = a.Status
+	}
+	if answered[open] != 200 || answered[crossed] != 200 {
+		t.Errorf("got %v", answered)
+	}
+	if _, err := c.Read(); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection ended with %v", err)
+	}
+	c.Close()
+	if err := <-r.done; err != nil {
+		t.Error(err)
+	}
+	r.done <- nil
+}
+
+// A client that sends GOAWAY still gets what it is owed.
+func TestClientGoesAway(t *testing.T) {
+	r := newRig(t, platform(), nil)
+	c := r.dial(nil)
+	id := r.ask(c, look("one"))
+	if err := c.Framer.WriteGoAway(0, http2.ErrCodeNo, nil); err != nil {
+		t.Fatal(err)
+	}
+	if a := r.read(c); a.Stream != id || a.Status != 200 {
+		t.Errorf("got %+v", a)
+	}
+}
+
+// Rapid reset on sockets (CVE-2023-44487): the offender is sent away with the right code, others are served all the while.
+func TestRapidReset(t *testing.T) {
+	r := newRig(t, platform(), nil)
+	good, rude := r.dial(nil), r.dial(nil)
+	ended := make(chan *http2.GoAwayFrame, 1)
+	go func() { // reads beside the writer, which it must not answer for
+		for f := http2.NewFramer(nil, rude.Conn); ; {
+			x, err := f.ReadFrame()
+			if away, ok := x.(*http2.GoAwayFrame); ok || err != nil {
+				ended <- away
+				return
+			}
+		}
+	}()
+	for i := 0; ; i++ {
+		q := look(fmt.Sprintf("rude-%d", i))
+		q.Customer = "0000000000000001"
+		id, err := rude.Ask(q)
+		if err != nil || rude.Framer.WriteRSTStream(id, http2.ErrCodeCancel) != nil {
+			break // it was sent away
+		}
+		if i == 100 {
+			if a := r.call(good, look("good")); a.Status != 200 {
+				t.Errorf("the good client got %+v", a)
+			}
+		}
+		if i > 100000 {
+			t.Fatal("resets go on without end")
+		}
+	}
+	if a := <-ended; a == nil || a.ErrCode != http2.ErrCodeEnhanceYourCalm {
+		t.Errorf("the rude client got %+v", a)
+	}
+	if a := r.call(good, look("good-2")); a.Status != 200 {
+		t.Errorf("the good client got %+v", a)
+	}
+}
+
+// More idle connections than there are descriptors: the quiet ones make room, and a client that asks is served.
+func TestIdleConnections(t *testing.T) {
+	r := newRig(t, platform(), func(cfg *gateway.Config, _ *Listener) { cfg.Sockets = 256 })
+	for range 600 {
+		nc, err := net.Dial("tcp", r.front.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+	}
+	if a := r.call(r.dial(nil), look("one")); a.Status != 200 {
+		t.Errorf("got %+v", a)
+	}
+}
+
+// A client that opens no window is given up after the stated time, on its stream alone.
+func TestNoWindow(t *testing.T) {
+	r := newRig(t, platform(), func(cfg *gateway.Config, _ *Listener) {
+		cfg.Tuning.Clients.Write = 100 * time.Millisecond
+	})
+	c := r.dial(nil, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+	stuck := r.ask(c, look("stuck"))
+	if a := r.read(c); a.Stream != stuck || !a.Reset || a.Code != http2.ErrCodeCancel {
+		t.Fatalf("got %+v", a)
+	}
+	if err := c.Framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 1000}); err != nil {
+		t.Fatal(err)
+	}
+	if a := r.call(c, look("next")); a.Status != 200 {
+		t.Errorf("got %+v", a)
+	}
+}
+
+// play sends the same drawn requests by one protocol, the other, or each by either, with a node that drains half way, and
+// tells the units that were let in for each customer, and how each request ended.
+func playMix(t *testing.T, seed uint64, mix func(i int) bool) (units map[string]float64, ends []string) {
+	p := platform()
+	r := newRig(t, p, nil)
+	rnd := seeds.Rand(seed)
+	c, old := r.dial(nil), (*stand.Client)(nil)
+	var err error
+	if old, err = stand.Dial(r.resp); err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	asked := map[string]float64{}
+	const requests = 300
+	for i := range requests {
+		if i == requests/2 {
+			if err := r.site.Drain(0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		who := fmt.Sprintf("%016x", 1+rnd.IntN(12))
+		plan := p.Plans[rnd.IntN(len(p.Plans))].Name
+		id, units, book := fmt.Sprintf("r-%d", i), 1+rnd.IntN(2), rnd.IntN(2) == 0
+		key := fmt.Sprintf("k%d", rnd.IntN(1<<30))
+		asked[id] = float64(units)
+		status := 0
+		if mix(i) {
+			q := stand.H2Request{Path: "/v1/ask/slot-lookup", Customer: who, Plan: plan, ID: id, Patience: patience, Units: strconv.Itoa(units)}
+			if book {
+				q.Path, q.Key = "/v1/do/slot-book", key
+			}
+			status = r.call(c, q).Status
+		} else {
+			words := []string{"Q.ASK", who, id, fmt.Sprintf("c=slot-lookup,t=%s,d=20000,units=%d", plan, units)}
+			if book {
+				words = []string{"Q.DO", who, id, fmt.Sprintf("c=slot-book,t=%s,d=20000,k=%s,units=%d", plan, key, units)}
+			}
+			if err := old.Send(words...); err != nil {
+				t.Fatal(err)
+			}
+			got, err := old.Read()
+			switch {
+			case err != nil:
+				t.Fatal(err)
+			case strings.HasPrefix(got, "$"):
+				status = 200
+			case strings.HasPrefix(got, "-BUSY"):
+				status = 429
+			default:
+				t.Fatalf("got %q", got)
+			}
+		}
+		ends = append(ends, fmt.Sprintf("%s %d", id, status))
+	}
+	units, seen := map[string]float64{}, map[string]bool{}
+	for _, a := range r.site.Tally.Arrivals() {
+		if a.Units != asked[a.ID] {
+			t.Errorf("%s came with %v units, not %v", a.ID, a.Units, asked[a.ID])
+		}
+		if !seen[a.ID] {
+			units[a.Customer] += a.Units
+		}
+		seen[a.ID] = true
+	}
+	for id, n := range r.site.Tally.Effects() {
+		if n != 1 {
+			t.Errorf("%s took effect %d times", id, n)
+		}
+	}
+	return units, ends
+}
+
+// The same load by RESP2, by HTTP/2 and by both in turn: the same units let in for each customer, the same ending of each
+// request, and one answer each.
+func TestMixedProtocolsOneQuota(t *testing.T) {
+	seeds.Play(t, []uint64{1, 2}, func(t *testing.T, seed uint64) {
+		units, ends := playMix(t, seed, func(int) bool { return false })
+		for name, mix := range map[string]func(int) bool{"HTTP/2": func(int) bool { return true }, "both": func(i int) bool { return i%2 == 0 }} {
+			u, e := playMix(t, seed, mix)
+			if fmt.Sprint(u) != fmt.Sprint(units) {
+				t.Errorf("%s: %v units, by RESP2 %v", name, u, units)
+			}
+			if !slices.Equal(e, ends) {
+				t.Errorf("%s: requests end in another way than by RESP2", name)
+			}
+		}
+		served := 0
+		for _, e := range ends {
+			if strings.HasSuffix(e, " 200") {
+				served++
+			}
+		}
+		if served < 50 || served > 250 {
+			t.Errorf("%d of %d were served: too little for a test", served, len(ends))
+		}
+	})
+}
+
+// authority signs certificates for the tests.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pem  []byte
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t}
+	a.cert = &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
+	a.pem, _, a.key = a.sign(a.cert)
+	return a
+}
+
+func (a *authority) sign(c *x509.Certificate) (cert, key []byte, private *ecdsa.PrivateKey) {
+	a.t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	by := a.key
+	if by == nil {
+		by = private
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, &private.PublicKey, by)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	raw, err := x509.MarshalECPrivateKey(private)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: raw}), private
+}
+
+// leaf is a certificate for a name.
+func (a *authority) leaf(name string, serial int64) (cert, key []byte) {
+	cert, key, _ = a.sign(&x509.Certificate{SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}})
+	return cert, key
+}
+
+// TLS by ALPN, clients with certificates of the right authority only, each for its own customer; and a certificate that is
+// replaced while the gateway runs, all or nothing.
+func TestTLS(t *testing.T) {
+	a, dir := newAuthority(t), t.TempDir()
+	put := func(name string, text []byte) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	cert, key := a.leaf("gateway", 2)
+	files := Files{Certificate: put("cert.pem", cert), Key: put("key.pem", key), Clients: put("clients.pem", a.pem), Bind: true}
+	r := newRig(t, platform(), func(_ *gateway.Config, l *Listener) { l.Files = &files })
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(a.pem)
+	shows := func(a *authority, name string) *tls.Config {
+		cert, key := a.leaf(name, 3)
+		pair, err := tls.X509KeyPair(cert, key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &tls.Config{RootCAs: roots, ServerName: "127.0.0.1", Certificates: []tls.Certificate{pair}}
+	}
+	mine := shows(a, customer)
+	c := r.dial(mine)
+	if got := r.call(c, look("one")); got.Status != 200 {
+		t.Errorf("got %+v", got)
+	}
+	other := look("two")
+	other.Customer = "0000000000000007"
+	if got := r.call(c, other); got.Status != 403 {
+		t.Errorf("another customer's certificate: got %+v", got)
+	}
+	if got := r.call(r.dial(shows(a, "")), look("three")); got.Status != 403 {
+		t.Errorf("a certificate without a name: got %+v", got)
+	}
+	for name, by := range map[string]*tls.Config{"none": {RootCAs: roots, ServerName: "127.0.0.1"}, "another authority's": shows(newAuthority(t), customer)} {
+		c, err := stand.DialH2(r.front.Addr().String(), by)
+		if err != nil {
+			continue // turned away while it wrote
+		}
+		if a, err := c.Read(); err == nil {
+			t.Errorf("certificate %s: got %+v", name, a)
+		}
+		c.Close()
+	}
+	serial := func() int64 {
+		c := r.dial(mine)
+		if err := c.Conn.(*tls.Conn).Handshake(); err != nil {
+			t.Fatal(err)
+		}
+		return c.Conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+	}
+	next, nextKey := a.leaf("gateway", 9)
+	put("cert.pem", next) // without its key yet
+	if _, err := r.front.Reload(); err == nil || serial() != 2 {
+		t.Errorf("a certificate without its key is taken: %v", err)
+	}
+	put("key.pem", nextKey)
+	take, err := r.front.Reload()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if take(); serial() != 9 {
+		t.Error("the new certificate is not shown")
+	}
+	if got := r.call(c, look("four")); got.Status != 200 {
+		t.Errorf("the connection from before: got %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/h2/tls.go
@@ -0,0 +1,65 @@
+package h2
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync/atomic"
+
+	"golang.org/x/net/http2"
+)
+
+// Files name a listener's identity, in PEM.
+type Files struct {
+	Certificate, Key string
+	Clients          string // authorities of the certificates that clients must show; "": none is asked for
+	Bind             bool   // a client's certificate names the one customer that it may ask for, as its common name
+}
+
+// identity is what the files held when they were last read whole.
+type identity struct {
+	files Files
+	now   atomic.Pointer[tls.Config]
+}
+
+func newIdentity(f Files) (*identity, error) {
+	c, err := f.load()
+	if err != nil {
+		return nil, err
+	}
+	i := &identity{files: f}
+	i.now.Store(c)
+	return i, nil
+}
+
+// config is that of a new connection. Open ones keep theirs.
+func (i *identity) config() *tls.Config { return i.now.Load() }
+
+// load reads the files.
+func (f *Files) load() (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, fmt.Errorf("certificate and key: %w", err)
+	}
+	c := &tls.Config{Certificates: []tls.Certificate{pair}, NextProtos: []string{http2.NextProtoTLS}, MinVersion: tls.VersionTLS12,
+		CipherSuites: []uint16{ // for TLS 1.2, those that RFC 9113, 9.2.2 does not prohibit
+			tls.TLS_ECDHE_ECDSA_WITH_AES_128_GCM_SHA256, tls.TLS_ECDHE_RSA_WITH_AES_128_GCM_SHA256,
+			tls.TLS_ECDHE_ECDSA_WITH_AES_256_GCM_SHA384, tls.TLS_ECDHE_RSA_WITH_AES_256_GCM_SHA384,
+			tls.TLS_ECDHE_ECDSA_WITH_CHACHA20_POLY1305_SHA256, tls.TLS_ECDHE_RSA_WITH_CHACHA20_POLY1305_SHA256}}
+	if f.Clients != "" {
+		pem, err := os.ReadFile(f.Clients)
+		if err != nil {
+			return nil, fmt.Errorf("authorities of clients: %w", err)
+		}
+		c.ClientCAs, c.ClientAuth = x509.NewCertPool(), tls.RequireAndVerifyClientCert
+		if !c.ClientCAs.AppendCertsFromPEM(pem) {
+			return nil, errors.New("authorities of clients: no certificate in " + f.Clients)
+		}
+	}
+	return c, nil
+}
+
+// customerOf is the customer that a certificate names.
+func customerOf(c *x509.Certificate) string { return c.Subject.CommonName }
--- /dev/null
+++ b/internal/stand/h2client.go
@@ -0,0 +1,182 @@
+package stand
+
+import (
+	"bytes"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+// H2Client is a client's connection by HTTP/2, made of raw frames, so that it can misbehave: what is written is what it is
+// told, and nothing is answered by itself but SETTINGS and PING, and DATA where Windows is set. It is not safe for concurrent
+// use.
+type H2Client struct {
+	Conn    net.Conn
+	Framer  *http2.Framer
+	Windows bool // give back what DATA takes of the windows
+	next    uint32
+	encoded bytes.Buffer
+	encoder *hpack.Encoder
+	decoder *hpack.Decoder
+	partly  map[uint32]*H2Answer
+}
+
+const h2FrameMost = 16384 // bytes of a frame that every peer takes (RFC 9113, 4.2)
+
+// H2Answer is what came on a stream, or for the whole connection where Stream is 0.
+type H2Answer struct {
+	Stream uint32
+	Status int
+	Fields map[string]string
+	Body   []byte
+	Reset  bool // by RST_STREAM, with Code
+	Away   bool // GOAWAY, with Code and Last
+	Code   http2.ErrCode
+	Last   uint32
+}
+
+// DialH2 connects to a gateway, by TLS where a configuration is given, and sends the preface.
+func DialH2(addr string, by *tls.Config, settings ...http2.Setting) (*H2Client, error) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("dialing a gateway: %w", err)
+	}
+	if by != nil {
+		by = by.Clone()
+		by.NextProtos = []string{http2.NextProtoTLS}
+		conn = tls.Client(conn, by)
+	}
+	c := &H2Client{Conn: conn, Windows: true, next: 1, partly: map[uint32]*H2Answer{}}
+	c.Framer = http2.NewFramer(conn, conn)
+	c.Framer.AllowIllegalWrites = true
+	c.encoder, c.decoder = hpack.NewEncoder(&c.encoded), hpack.NewDecoder(4096, nil)
+	if _, err := io.WriteString(conn, http2.ClientPreface); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("writing the preface: %w", err)
+	}
+	if err := c.Framer.WriteSettings(settings...); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("writing SETTINGS: %w", err)
+	}
+	return c, nil
+}
+
+// H2Request is a request in the mapping's words. What is empty is left out.
+type H2Request struct {
+	Path, Customer, Plan, ID, Key, Units, Set string
+	Patience                                  time.Duration
+	Body                                      []byte
+	More                                      []string // names and values
+}
+
+// Block is the request's header block.
+func (c *H2Client) Block(q H2Request) []byte {
+	c.encoded.Reset()
+	fields := []string{":method", "POST", ":scheme", "http", ":authority", "gateway", ":path", q.Path, "sloepick-customer", q.Customer,
+		"sloepick-plan", q.Plan, "sloepick-id", q.ID, "idempotency-key", q.Key, "sloepick-units", q.Units, "sloepick-set", q.Set}
+	if q.Patience > 0 {
+		fields = append(fields, "sloepick-patience", strconv.FormatInt(q.Patience.Milliseconds(), 10))
+	}
+	for i, all := 0, append(fields, q.More...); i+1 < len(all); i += 2 {
+		if all[i+1] != "" {
+			c.encoder.WriteField(hpack.HeaderField{Name: all[i], Value: all[i+1]}) // into memory: it can't fail
+		}
+	}
+	return bytes.Clone(c.encoded.Bytes())
+}
+
+// Ask sends a whole request on a new stream and tells which.
+func (c *H2Client) Ask(q H2Request) (uint32, error) {
+	id := c.next
+	c.next += 2
+	err := c.Framer.WriteHeaders(http2.HeadersFrameParam{StreamID: id, EndHeaders: true, EndStream: len(q.Body) == 0, BlockFragment: c.Block(q)})
+	for b := q.Body; err == nil && len(b) > 0; {
+		n := min(len(b), h2FrameMost)
+		err = c.Framer.WriteData(id, n == len(b), b[:n])
+		b = b[n:]
+	}
+	if err != nil {
+		return id, fmt.Errorf("writing a request: %w", err)
+	}
+	return id, nil
+}
+
+// Read returns the next whole answer, reset or GOAWAY.
+func (c *H2Client) Read() (*H2Answer, error) {
+	for {
+		f, err := c.Framer.ReadFrame()
+		if err != nil {
+			return nil, err
+		}
+		a, err := c.frame(f)
+		if a != nil || err != nil {
+			return a, err
+		}
+	}
+}
+
+func (c *H2Client) frame(f http2.Frame) (*H2Answer, error) {
+	id := f.Header().StreamID
+	switch f := f.(type) {
+	case *http2.SettingsFrame:
+		if !f.IsAck() {
+			return nil, c.Framer.WriteSettingsAck()
+		}
+	case *http2.PingFrame:
+		if !f.IsAck() {
+			return nil, c.Framer.WritePing(true, f.Data)
+		}
+	case *http2.GoAwayFrame:
+		return &H2Answer{Away: true, Code: f.ErrCode, Last: f.LastStreamID}, nil
+	case *http2.RSTStreamFrame:
+		delete(c.partly, id)
+		return &H2Answer{Stream: id, Reset: true, Code: f.ErrCode}, nil
+	case *http2.HeadersFrame:
+		fields, err := c.decoder.DecodeFull(f.HeaderBlockFragment())
+		if err != nil {
+			return nil, fmt.Errorf("decoding an answer: %w", err)
+		}
+		a := &H2Answer{Stream: id, Fields: map[string]string{}}
+		for _, h := range fields {
+			a.Fields[h.Name] = h.Value
+		}
+		a.Status, err = strconv.Atoi(a.Fields[":status"])
+		if f.StreamEnded() || err != nil {
+			return a, err
+		}
+		c.partly[id] = a
+	case *http2.DataFrame:
+		return c.data(f)
+	}
+	return nil, nil
+}
+
+var errUnasked = errors.New("DATA on a stream without HEADERS")
+
+func (c *H2Client) data(f *http2.DataFrame) (*H2Answer, error) {
+	a := c.partly[f.StreamID]
+	if a == nil {
+		return nil, errUnasked
+	}
+	a.Body = append(a.Body, f.Data()...)
+	if c.Windows && f.Length > 0 {
+		if err := c.Framer.WriteWindowUpdate(0, f.Length); err != nil {
+			return nil, err
+		}
+	}
+	if !f.StreamEnded() {
+		return nil, nil
+	}
+	delete(c.partly, f.StreamID)
+	return a, nil
+}
+
+// Close ends the connection.
+func (c *H2Client) Close() { c.Conn.Close() }
--- a/internal/stand/node.go
+++ b/internal/stand/node.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -297,3 +299,17 @@
 	}
 	return newListener(ln, serve), nil
 }
+
+// Arrivals are the requests that came whole to a node, in their order.
+func (t *Tally) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.arrivals)
+}
+
+// Effects are how often each request took effect, by its id.
+func (t *Tally) Effects() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.effects)
+}
