--- a/internal/h2/mapping.go
+++ b/internal/h2/mapping.go
@@ -196,11 +196,22 @@
 		if e.Taken {
 			return (&problem{statusTaken, "id-open", e.Why}).tell()
 		}
-		return bad("%s", e.Why).tell()
+		why := e.Why
+		if here := spelled[why]; here != "" {
+			why = here
+		}
+		return bad("%s", why).tell()
 	}
 	return r
 }
 
+// spelled are the core's words for what is wrong with a request, where they name a value by RESP2's letter.
+var spelled = map[string]string{
+	"k is missing":                          fieldKey + " is missing",
+	"d is out of range":                     fieldPatience + " is out of range",
+	"the class goes with the other command": "the class goes with the other of " + pathAsk + " and " + pathDo,
+}
+
 // limits tells the room of the customer's bucket and the request's cost.
 func (r *response) limits(plan string, units float64, room decide.Room) {
 	name := strconv.Quote(plan)
--- a/internal/h2/wire/headers.go
+++ b/internal/h2/wire/headers.go
@@ -24,6 +24,8 @@
 	seen    [pseudoFields]bool
 	length  int64
 	trailer bool
+	answer  bool // of an answer, whose status it tells
+	status  string
 }
 
 const (
@@ -47,6 +49,10 @@
 		return
 	}
 	s := c.streams[id]
+	if c.client && id > c.last {
+		c.fail(http2.ErrCodeProtocol, "HEADERS on a stream that was never begun")
+		return
+	}
 	if s == nil && id <= c.last {
 		known, mine := c.gone(id)
 		if !known {
@@ -59,7 +65,10 @@
 		}
 	}
 	c.block = block{stream: id, ends: f.StreamEnded(), req: &Request{}, length: -1, trailer: id <= c.last,
-		self: f.HasPriority() && f.Priority.StreamDep == id}
+		self: f.HasPriority() && f.Priority.StreamDep == id, answer: c.client}
+	if c.client {
+		c.block.trailer = s != nil && s.status != 0
+	}
 	c.last = max(c.last, id)
 	c.decoder.SetEmitEnabled(true)
 	c.piece(f.HeaderBlockFragment(), f.HeadersEnded())
@@ -128,6 +137,11 @@
 	case ":path":
 		at, to = pseudoPath, &b.req.Path
 	}
+	if b.answer {
+		if at, to = 0, nil; f.Name == ":status" {
+			to = &b.status
+		}
+	}
 	if to == nil || b.plain || b.trailer || b.seen[at] {
 		b.bad = true
 		return
@@ -168,6 +182,8 @@
 	b := &c.block
 	s := c.streams[b.stream]
 	switch {
+	case c.client && !b.trailer:
+		c.answerBegun(s)
 	case b.trailer:
 		c.trailers(s)
 	case c.refuseFrom > 0 && b.stream > c.refuseFrom: // after GOAWAY: its client knows that it was not taken
@@ -193,7 +209,7 @@
 	switch {
 	case b.size > c.limits.Fields:
 		s.whole, s.refused = b.ends, true
-		c.events = append(c.events, Event{Kind: TooBig, Stream: s.id, Status: 431})
+		c.tooBig(s, 431)
 	case b.ends && b.length > 0:
 		c.reset(s.id, http2.ErrCodeProtocol)
 	case b.ends:
--- a/internal/h2/wire/send.go
+++ b/internal/h2/wire/send.go
@@ -78,6 +78,9 @@
 // sent closes a stream that was answered to the end. A client that still sends its request is told to stop
 // (RFC 9113, 8.1).
 func (c *Conn) sent(s *stream) {
+	if c.client {
+		return // the answer is yet to come
+	}
 	if !s.whole {
 		c.written(c.framer.WriteRSTStream(s.id, http2.ErrCodeNo))
 	}
--- a/internal/stand/node.go
+++ b/internal/stand/node.go
@@ -90,6 +90,7 @@
 	l        *listener
 	waiting  int
 	draining bool
+	quick    bool
 	started  time.Time // zero: long ago
 	counts   Counts
 	stall    func(Arrival) time.Duration
@@ -137,6 +138,13 @@
 	n.stall = by
 }
 
+// Quick lets it answer at once, whatever the work.
+func (n *Node) Quick() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.quick = true
+}
+
 // Drain lets it turn away what is new.
 func (n *Node) Drain() {
 	n.mu.Lock()
@@ -217,9 +225,12 @@
 		return ""
 	}
 	n.mu.Lock()
-	started, stall := n.started, n.stall
+	started, stall, quick := n.started, n.stall, n.quick
 	n.mu.Unlock()
 	took := time.Duration(float64(a.Work) / n.cfg.speed(time.Since(started)))
+	if quick {
+		took = 0
+	}
 	if stall != nil {
 		took += stall(a)
 	}
