Reach nodes by HTTP/2, an attempt a stream, with one table of what may have run

Need: some newer booking nodes answer only HTTP/2.

Change: the pool knows backs by nodes' kind (gateway.Back, Carrier, Try); Fate is the one table of what may have run, for RESP2's broken connections too. The back of internal/h2 puts attempts on streams up to the node's bound, gives one up by RST_STREAM, finds silent connections by PING, and writes a request in the turn in which it is sent or not at all. A block back of the operators' file names the kind; without one nothing differs. The stand-in node speaks HTTP/2 by raw frames and can be rude.

Streams shared and given up, the node's bound lowered to 0, GOAWAY under load, a drain under many clinics' streams, a silent node, and the mixed load of both fronts with one and with both nodes by HTTP/2: the same quotas and endings as by RESP2 alone.

--- /dev/null
+++ b/internal/blocks/back.go
@@ -0,0 +1,35 @@
+package blocks
+
+import (
+	"sloepick/internal/gateway"
+	"sloepick/internal/h2"
+	"sloepick/internal/operator"
+)
+
+// backBlock declares the block back.
+func backBlock() *operator.Block {
+	return &operator.Block{
+		Name: "back", Labels: true,
+		Doc: "Nodes of a kind that speak HTTP/2, with prior knowledge on plain TCP. The block's name is the kind, as discovery tells it. Nodes of other kinds are reached by RESP2.",
+		Keys: []operator.Key{
+			{Name: "streams", Kind: operator.Count, Default: "100", Least: "1", Most: "1000", Sense: operator.MoreIsLooser, Takes: operator.AtRestart,
+				Doc: "Attempts out at once on a connection, where the node allows as many."},
+			{Name: "connections", Kind: operator.Count, Default: "2", Least: "1", Most: "64", Sense: operator.MoreIsLooser, Takes: operator.AtRestart,
+				Doc: "Connections to a node; an attempt over what they take is not made and not held against the node."},
+			{Name: "ping", Kind: operator.Duration, Default: "500ms", Least: "50ms", Most: "1m", Sense: operator.MoreIsLooser, Takes: operator.AtRestart,
+				Doc: "A connection with attempts out on which nothing comes for so long is asked by PING; after as long again it is closed."},
+			{Name: "idle", Kind: operator.Duration, Default: "5s", Least: "100ms", Most: "1h", Sense: operator.MoreIsLooser, Takes: operator.AtRestart,
+				Doc: "A connection with nothing out is closed after so long: before the node closes it."},
+		},
+	}
+}
+
+// Backs reads the kinds of nodes that are not reached by RESP2.
+func Backs(c *operator.Config) map[string]gateway.Back {
+	all := map[string]gateway.Back{}
+	for _, s := range c.All("back") {
+		all[s.Label] = h2.NewBack(h2.BackConfig{Kind: s.Label, Streams: s.Count("streams"), Connections: s.Count("connections"),
+			Ping: s.Duration("ping"), Idle: s.Duration("idle")})
+	}
+	return all
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,6 +68,7 @@
 		r.warn(warnings)
 		cfg.Tuning, cfg.Routes = tuning.From(r.now), route.From(r.now)
 		level.Set(blocks.Level(r.now))
+		cfg.Backs = blocks.Backs(r.now)
 		for _, l := range blocks.Listeners(r.now) {
 			f, err := h2.NewFront(l)
 			if err != nil {
--- /dev/null
+++ b/internal/gateway/back.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"time"
+
+	"sloepick/decide"
+)
+
+// Back reaches nodes by a protocol of its own, beside RESP2's. Which nodes, discovery's kind tells (Config.Backs).
+type Back interface {
+	// Node is asked for a node at an address, by the loop.
+	Node(d *Door, p *Place) Carrier
+}
+
+// Carrier carries attempts to one node at one address. Its methods are called by the loop.
+type Carrier interface {
+	Start(t *Try)  // it must tell how the try ended, once, unless GiveUp comes first
+	GiveUp(t *Try) // nothing of it is waited for any more, and nothing of it may be written from now on
+	Retire()       // the connections that are there take nothing new, and close once nothing is open on them
+}
+
+// Fate is what became of an attempt that was not served, in no protocol's words.
+type Fate int
+
+// The fates.
+const (
+	NoRoom     Fate = iota + 1 // nothing went out, for want of something here
+	NeverLeft                  // no connection came up, or it broke before the last byte was handed over
+	TurnedAway                 // the node said that it did not begin it
+	Broke                      // the connection, or its part in it, broke after the last byte
+	Unusable                   // the node answered, with an error or with what is no answer
+)
+
+// outcome is the one table of what may have run, for all protocols: after NoRoom, NeverLeft and TurnedAway nothing has, after
+// the others it may. RESP2 tells TurnedAway by -BUSY; HTTP/2 by REFUSED_STREAM, by GOAWAY with a lower last stream (RFC 9113,
+// 8.7), or by an answer that promises it.
+func (f Fate) outcome() decide.Outcome {
+	switch f {
+	case NoRoom:
+		return decide.Moot
+	case NeverLeft:
+		return decide.NoConnection
+	case TurnedAway:
+		return decide.Full
+	case Broke:
+		return decide.Reset
+	}
+	return decide.Error
+}
+
+// Place is a node as its carrier sees it: connections to it are counted with all others.
+type Place struct {
+	p    *pool
+	s    *upstream
+	addr string
+}
+
+// Addr is host:port.
+func (n *Place) Addr() string { return n.addr }
+
+// Take counts a connection that is to be made. It reports false if there is no room for it.
+func (n *Place) Take() bool {
+	if n.p.conns >= n.p.room() {
+		n.p.evict()
+	}
+	if n.s.conns >= n.p.perNode || n.p.conns >= n.p.room() {
+		return false
+	}
+	n.s.conns++
+	n.p.conns++
+	return true
+}
+
+// Give counts a connection off.
+func (n *Place) Give() { n.p.dropped(n.s) }
+
+// ConnectTimeout is how long the making of a connection may take.
+func (n *Place) ConnectTimeout() time.Duration { return n.p.dialFor }
+
+// Try is one attempt, for a carrier.
+type Try struct {
+	l *loop
+	a *attempt
+}
+
+// Values are the request's. Came and Patience are not told: Left is what a node may take. Names that a client's list holds
+// beyond them do not go on.
+func (t *Try) Values() Values {
+	c := t.a.req.cmd
+	v := Values{Customer: c.req.Customer, ID: c.id(), Class: c.req.Class, Plan: c.req.Plan, Key: c.key, Units: c.req.Units,
+		Spread: c.req.Spread, First: c.req.First, Again: c.req.Again, Write: c.req.Write}
+	if len(c.args) > listArg+1 {
+		v.Body = c.args[listArg+1]
+	}
+	return v
+}
+
+// Left is how long it will be waited for.
+func (t *Try) Left() time.Duration { return t.a.until - t.l.clock.now() }
+
+// Wanted looks again before the first byte, as all may have changed while a connection was made: the attempt may have been
+// called off or its request answered, and its node may drain or have moved. If it reports false, the try has ended.
+func (t *Try) Wanted() bool {
+	switch a := t.a; {
+	case a.over:
+		return false
+	case a.req.done:
+		t.l.ended(a, decide.Cancelled)
+		return false
+	case a.server.entry.State != decide.Serving:
+		t.l.ended(a, decide.NoConnection)
+		return false
+	}
+	return true
+}
+
+// Placed tells that it has a connection: a time-out from now on is the node's.
+func (t *Try) Placed() { t.a.placed = true }
+
+// Whole tells that the last byte may have been handed over.
+func (t *Try) Whole() { t.a.whole = true }
+
+// Served ends it with a node's value.
+func (t *Try) Served(value []byte) {
+	if !t.a.over {
+		t.l.served(t.a, value)
+	}
+}
+
+// Ended ends it. What broke before it was whole never left.
+func (t *Try) Ended(f Fate) {
+	if f == Broke && !t.a.whole {
+		f = NeverLeft
+	}
+	t.l.ended(t.a, f.outcome())
+}
+
+// LocalFault reports whether a connection was not made for want of something on this machine.
+func LocalFault(err error) bool { return localFault(err) }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -30,9 +30,10 @@
 	Peers      []netip.AddrPort // by the gateways' numbers
 	Known      serverList       // as this gateway last had it
 	Settings   settings.Settings
-	Tuning     tuning.Tuning  // the zero value: what holds without an operator file
-	Routes     []*route.Route // proven by Prove; none: the module's own bounds hold
-	Fronts     []Front        // beside RESP2's, which always listens; none without an operators' file
+	Tuning     tuning.Tuning   // the zero value: what holds without an operator file
+	Routes     []*route.Route  // proven by Prove; none: the module's own bounds hold
+	Backs      map[string]Back // by nodes' kind; kinds that are not named are reached by RESP2
+	Fronts     []Front         // beside RESP2's, which always listens; none without an operators' file
 }
 
 // fileConfig is the form of the configuration file.
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -27,6 +27,7 @@
 	entry decide.Server
 	conns int       // open or being made
 	idle  []*upConn // the last used last: it is the least likely to have been closed
+	carry Carrier   // nil: RESP2
 }
 
 // upConn is a connection to a server. It carries one attempt at a time, as giving an attempt up closes it.
@@ -51,6 +52,8 @@
 	at, until time.Duration
 	conn      *upConn // nil until it has one
 	expiry    *alarm
+	try       *Try // nil: by RESP2
+	placed    bool // a carrier has put it on a connection
 	whole     bool // the last byte may have been written
 	over      bool
 	outcome   decide.Outcome // once it is over
@@ -95,6 +98,12 @@
 	}
 	moved := s.addr != addr || s.entry.Started != e.Started
 	s.addr, s.entry = addr, e
+	if back := p.l.cfg.Backs[e.Kind]; back != nil && (moved || s.carry == nil) {
+		if s.carry != nil {
+			s.carry.Retire()
+		}
+		s.carry = back.Node(&Door{p.l}, &Place{p, s, addr})
+	}
 	if moved || e.State != decide.Serving {
 		p.closeIdle(s) // they lead to a process that is gone, or are not needed again
 	}
@@ -124,6 +133,9 @@
 	for len(s.idle) > 0 {
 		p.close(s.idle[len(s.idle)-1])
 	}
+	if s.carry != nil {
+		s.carry.Retire()
+	}
 }
 
 // listed is the list as last told, in the order of ids.
@@ -143,6 +155,11 @@
 		p.l.ended(a, decide.NoConnection)
 		return
 	}
+	if s.carry != nil {
+		a.try = &Try{p.l, a}
+		s.carry.Start(a.try)
+		return
+	}
 	for c := p.rested(s); c != nil; c = p.rested(s) {
 		if p.write(c, a) {
 			return
@@ -314,11 +331,11 @@
 
 // broken ends an attempt whose connection broke. Before its last byte was written it never ran.
 func (p *pool) broken(a *attempt) {
-	o := decide.NoConnection
+	f := NeverLeft
 	if a.whole {
-		o = decide.Reset
+		f = Broke
 	}
-	p.l.ended(a, o)
+	p.l.ended(a, f.outcome())
 }
 
 // park keeps a connection for the next attempt.
@@ -378,7 +395,7 @@
 func (p *pool) expire(a *attempt) {
 	o := decide.TimedOut
 	switch {
-	case a.conn == nil:
+	case a.conn == nil && !a.placed:
 		o = decide.NoConnection
 	case p.l.clock.now()-a.until > lateness:
 		o = decide.Cancelled
@@ -396,6 +413,9 @@
 	if a.conn != nil {
 		p.close(a.conn) // an answer is owed on it, so it can't be used again
 	}
+	if a.try != nil {
+		a.server.carry.GiveUp(a.try)
+	}
 	p.l.ended(a, o)
 }
 
--- /dev/null
+++ b/internal/h2/back.go
@@ -0,0 +1,380 @@
+package h2
+
+import (
+	"context"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"sloepick/internal/gateway"
+	"sloepick/internal/h2/wire"
+)
+
+// BackConfig is how nodes of a kind are reached.
+type BackConfig struct {
+	Kind        string
+	Streams     int           // attempts out on a connection
+	Connections int           // to a node
+	Ping        time.Duration // a connection on which something is open and nothing comes for so long is asked whether it is there
+	Idle        time.Duration // one on which nothing is open is closed after so long
+}
+
+// Back reaches nodes that speak HTTP/2 with prior knowledge: an attempt is a stream.
+type Back struct{ cfg BackConfig }
+
+// NewBack makes one.
+func NewBack(c BackConfig) *Back { return &Back{c} }
+
+// Node implements gateway.Back.
+func (b *Back) Node(d *gateway.Door, p *gateway.Place) gateway.Carrier {
+	return &node{cfg: b.cfg, d: d, place: p, spots: map[*gateway.Try]spot{}}
+}
+
+// node is a node at an address. All of it is the loop's.
+type node struct {
+	cfg     BackConfig
+	d       *gateway.Door
+	place   *gateway.Place
+	conns   []*nodeConn
+	dialing bool
+	waiting []*gateway.Try // for the connection that is being made
+	spots   map[*gateway.Try]spot
+}
+
+// spot is where a try is out.
+type spot struct {
+	c      *nodeConn
+	stream uint32
+}
+
+// Start implements gateway.Carrier. A try goes on the connection with the fewest open; where all are full, or still write,
+// another is made, one at a time, and as many wait for it as it will take.
+func (n *node) Start(t *gateway.Try) {
+	if c := n.free(); c != nil {
+		c.send(t)
+		return
+	}
+	switch {
+	case len(n.waiting) >= n.cfg.Streams, !n.dialing && (len(n.conns) >= n.cfg.Connections || !n.place.Take()):
+		t.Ended(gateway.NoRoom)
+		return
+	case !n.dialing:
+		n.dial()
+	}
+	n.waiting = append(n.waiting, t)
+}
+
+// free is the connection that a try may go out on now.
+func (n *node) free() (best *nodeConn) {
+	for _, c := range n.conns {
+		if !c.last && c.clear() && c.wire.Room() > 0 && (best == nil || c.wire.Open() < best.wire.Open()) {
+			best = c
+		}
+	}
+	return best
+}
+
+func (n *node) dial() {
+	n.dialing = true
+	addr, within := n.place.Addr(), n.place.ConnectTimeout()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), within)
+		defer cancel()
+		d := net.Dialer{KeepAlive: -1}
+		nc, err := d.DialContext(ctx, "tcp", addr)
+		n.d.Post(func() { n.dialed(nc, err) })
+	}()
+}
+
+func (n *node) dialed(nc net.Conn, err error) {
+	n.dialing = false
+	waiting := n.waiting
+	n.waiting = nil
+	if err != nil {
+		n.place.Give()
+		fate := gateway.NeverLeft
+		if gateway.LocalFault(err) {
+			fate = gateway.NoRoom
+		}
+		for _, t := range waiting {
+			t.Ended(fate)
+		}
+		return
+	}
+	n.begin(nc)
+	for _, t := range waiting {
+		if t.Wanted() {
+			n.Start(t)
+		}
+	}
+}
+
+func (n *node) begin(nc net.Conn) {
+	limits := wire.DefaultLimits()
+	limits.Streams = n.cfg.Streams
+	now := n.d.Now()
+	c := &nodeConn{n: n, nc: nc, out: gateway.NewOutlet(nc), wire: wire.NewClient(limits, now), tries: map[uint32]*gateway.Try{},
+		heard: now, used: now, resume: make(chan struct{}, 1)}
+	n.conns = append(n.conns, c)
+	c.flush()
+	c.watch()
+	go c.read()
+}
+
+// GiveUp implements gateway.Carrier: the stream is reset, the connection stays.
+func (n *node) GiveUp(t *gateway.Try) {
+	if i := slices.Index(n.waiting, t); i >= 0 {
+		n.waiting = slices.Delete(n.waiting, i, i+1)
+		return
+	}
+	if s, ok := n.spots[t]; ok {
+		s.c.forget(s.stream)
+		s.c.wire.Reset(s.stream, http2.ErrCodeCancel)
+		s.c.flush()
+	}
+}
+
+// Retire implements gateway.Carrier.
+func (n *node) Retire() {
+	for _, c := range slices.Clone(n.conns) {
+		c.last = true
+		c.endIfDone()
+	}
+}
+
+// nodeConn is a connection to a node.
+type nodeConn struct {
+	n      *node
+	nc     net.Conn
+	out    *gateway.Outlet
+	wire   *wire.Conn
+	tries  map[uint32]*gateway.Try // by stream
+	heard  time.Duration           // when something came
+	used   time.Duration           // when something was open
+	pinged bool                    // since something came
+	last   bool                    // nothing new goes out on it
+	unsent []byte
+	closed bool
+	resume chan struct{}
+	alarm  func()
+}
+
+// clear reports that what is written goes to the kernel at once: a request must not wait here, where it could be called off and
+// written all the same.
+func (c *nodeConn) clear() bool { return !c.out.Busy() && len(c.unsent) == 0 }
+
+// send puts a try on the connection.
+func (c *nodeConn) send(t *gateway.Try) {
+	v := t.Values()
+	stream, ok := c.wire.Ask(askFields(&v, t.Left()), v.Body)
+	if !ok { // free has seen room
+		t.Ended(gateway.NoRoom)
+		return
+	}
+	c.tries[stream], c.n.spots[t] = t, spot{c, stream}
+	c.used = c.n.d.Now()
+	t.Placed()
+	c.flush()
+}
+
+// askFields are a request's, by the same mapping as the front's.
+func askFields(v *gateway.Values, left time.Duration) []hpack.HeaderField {
+	path := pathAsk + v.Class
+	if v.Write {
+		path = pathDo + v.Class
+	}
+	fields := []hpack.HeaderField{{Name: ":method", Value: "POST"}, {Name: ":scheme", Value: "http"}, {Name: ":path", Value: path},
+		{Name: fieldCustomer, Value: v.Customer}, {Name: fieldPlan, Value: v.Plan},
+		{Name: fieldID, Value: v.ID, Sensitive: true}, // new with each: not worth a place in the table
+		{Name: fieldPatience, Value: strconv.FormatInt(max(left.Milliseconds(), 1), 10), Sensitive: true},
+		{Name: fieldUnits, Value: strconv.FormatFloat(v.Units, 'f', -1, 64)}}
+	if v.Key != "" {
+		fields = append(fields, hpack.HeaderField{Name: fieldKey, Value: strconv.Quote(v.Key), Sensitive: true})
+	}
+	if v.Spread > 0 {
+		fields = append(fields, hpack.HeaderField{Name: fieldSet, Value: strconv.Itoa(v.Spread) + ";" + strconv.Itoa(v.First)})
+	}
+	if v.Again {
+		fields = append(fields, hpack.HeaderField{Name: fieldAgain, Value: "1"})
+	}
+	if len(v.Body) > 0 {
+		fields = append(fields, hpack.HeaderField{Name: "content-length", Value: strconv.Itoa(len(v.Body))})
+	}
+	return fields
+}
+
+// flush writes what the connection has to say. Tries of which all is handed over may run from then on.
+func (c *nodeConn) flush() {
+	c.unsent = append(c.unsent, c.wire.Out()...)
+	if c.closed || c.out.Busy() || len(c.unsent) == 0 {
+		return
+	}
+	n, err := c.out.Try(c.unsent)
+	if err != nil {
+		c.end()
+		return
+	}
+	for stream, t := range c.tries {
+		if c.wire.Unsent(stream) == 0 {
+			t.Whole()
+		}
+	}
+	if n == len(c.unsent) {
+		c.unsent = c.unsent[:0]
+		return
+	}
+	rest := c.unsent[n:]
+	c.unsent = nil
+	c.out.Finish(rest, c.n.d.Tuning().Clients.Write, c.n.d, func(err error) {
+		if err != nil {
+			c.end()
+			return
+		}
+		c.flush()
+		c.endIfDone()
+	})
+}
+
+// read hands on what comes, a piece at a time.
+func (c *nodeConn) read() {
+	buf := make([]byte, chunk)
+	for {
+		n, err := c.nc.Read(buf)
+		if n > 0 {
+			c.n.d.Post(func() { c.fed(buf[:n]) })
+			if _, open := <-c.resume; !open {
+				return
+			}
+		}
+		if err != nil {
+			c.n.d.Post(c.end)
+			return
+		}
+	}
+}
+
+func (c *nodeConn) fed(b []byte) {
+	if c.closed {
+		return
+	}
+	c.heard, c.pinged = c.n.d.Now(), false
+	for _, e := range c.wire.Feed(c.heard, b) {
+		c.event(e)
+	}
+	if c.closed {
+		return
+	}
+	c.flush()
+	c.endIfDone()
+	if !c.closed {
+		c.resume <- struct{}{}
+	}
+}
+
+func (c *nodeConn) event(e wire.Event) {
+	switch e.Kind {
+	case wire.Away:
+		c.last = true
+		return
+	case wire.Ended:
+		c.n.d.Log().Debug("an HTTP/2 connection to a node ended", "node", c.n.place.Addr(), "code", e.Code.String(), "why", e.Why)
+		c.end()
+		return
+	}
+	t := c.forget(e.Stream)
+	if t == nil {
+		return
+	}
+	switch {
+	case e.Kind == wire.Refused:
+		t.Ended(gateway.TurnedAway)
+	case e.Kind == wire.Answered:
+		conclude(t, e.Answer)
+	case e.Mine:
+		t.Ended(gateway.Unusable)
+	default:
+		t.Ended(gateway.Broke)
+	}
+}
+
+// conclude takes an answer.
+func conclude(t *gateway.Try, a *wire.Answer) {
+	never := slices.ContainsFunc(a.Fields, func(f hpack.HeaderField) bool { return f.Name == fieldRan && f.Value == ranNever })
+	switch {
+	case a.Status == statusOK:
+		t.Served(a.Body)
+	case never:
+		t.Ended(gateway.TurnedAway)
+	default:
+		t.Ended(gateway.Unusable)
+	}
+}
+
+// forget takes a try off its stream.
+func (c *nodeConn) forget(stream uint32) *gateway.Try {
+	t := c.tries[stream]
+	delete(c.tries, stream)
+	delete(c.n.spots, t)
+	c.used = c.n.d.Now()
+	return t
+}
+
+// endIfDone closes a connection that takes nothing new once nothing is open on it.
+func (c *nodeConn) endIfDone() {
+	if c.last && len(c.tries) == 0 && c.clear() {
+		c.end()
+	}
+}
+
+// end closes the connection. What is open on it broke.
+func (c *nodeConn) end() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.nc.Close()
+	close(c.resume)
+	if c.alarm != nil {
+		c.alarm()
+	}
+	c.n.conns = slices.DeleteFunc(c.n.conns, func(o *nodeConn) bool { return o == c })
+	c.n.place.Give()
+	for _, stream := range slices.Sorted(maps.Keys(c.tries)) {
+		c.forget(stream).Ended(gateway.Broke)
+	}
+}
+
+// watch finds connections that are silent, and retires those that are idle well before the node may close them.
+func (c *nodeConn) watch() {
+	if c.closed {
+		return
+	}
+	now, next := c.n.d.Now(), time.Duration(0)
+	switch {
+	case len(c.tries) == 0:
+		if next = c.used + c.n.cfg.Idle; next <= now {
+			c.end()
+			return
+		}
+		next = min(next, now+c.n.cfg.Ping)
+	case now-max(c.heard, c.used) < c.n.cfg.Ping && !c.pinged:
+		next = max(c.heard, c.used) + c.n.cfg.Ping
+	case c.pinged:
+		c.n.d.Log().Info("a connection to a node is silent", "node", c.n.place.Addr(), "open", len(c.tries))
+		c.end()
+		return
+	default:
+		c.pinged = true
+		c.wire.Ping()
+		c.flush()
+		next = now + c.n.cfg.Ping
+	}
+	if !c.closed {
+		c.alarm = c.n.d.At(next, c.watch)
+	}
+}
--- /dev/null
+++ b/internal/h2/back_test.go
@@ -0,0 +1,274 @@
+package h2
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+
+	"sloepick/internal/gateway"
+	"sloepick/internal/stand"
+)
+
+// newBackRig is a rig all of whose nodes speak HTTP/2.
+func newBackRig(t *testing.T, nodes int, change func(*BackConfig)) *rig {
+	t.Helper()
+	p := platform()
+	p.H2Nodes = nodes
+	b := BackConfig{Kind: stand.H2Kind, Streams: 100, Connections: 2, Ping: patience, Idle: patience}
+	if change != nil {
+		change(&b)
+	}
+	return newRigOf(t, p, nodes, func(cfg *gateway.Config, _ *Listener) { cfg.Backs = map[string]gateway.Back{stand.H2Kind: NewBack(b)} })
+}
+
+// booking is a keyed request, which must not run twice.
+func booking(id string) stand.H2Request {
+	q := look(id)
+	q.Path, q.Key = "/v1/do/slot-book", `"`+id+`"`
+	return q
+}
+
+// once checks that a request took effect so often, by the nodes' own tally.
+func (r *rig) ran(id string, times int) {
+	r.t.Helper()
+	if n := r.site.Tally.Effects()[id]; n != times {
+		r.t.Errorf("%s took effect %d times, want %d", id, n, times)
+	}
+}
+
+// What an attempt by HTTP/2 ends with decides whether it may go out again: what never ran goes to the other node, what may have
+// run stays in its group, where repeats are dropped, and the client is told the truth.
+func TestWhatMayHaveRun(t *testing.T) {
+	reset := func(code http2.ErrCode) func(*stand.H2Stream) {
+		return func(s *stand.H2Stream) { s.Conn.Frames(func(f *http2.Framer) { f.WriteRSTStream(s.ID, code) }) }
+	}
+	for name, x := range map[string]struct {
+		do    func(*stand.H2Stream)
+		again bool // it goes to the other group
+	}{
+		"REFUSED_STREAM": {reset(http2.ErrCodeRefusedStream), true},
+		"GOAWAY with a lower one": {func(s *stand.H2Stream) {
+			s.Conn.Frames(func(f *http2.Framer) { f.WriteGoAway(s.ID-1, http2.ErrCodeNo, nil) })
+		}, true},
+		"503 that promises it":  {func(s *stand.H2Stream) { s.Conn.Answer(s.ID, 503, "", "sloepick-ran", "never") }, true},
+		"429 that promises it":  {func(s *stand.H2Stream) { s.Conn.Answer(s.ID, 429, "", "sloepick-ran", "never") }, true},
+		"503":                   {func(s *stand.H2Stream) { s.Conn.Answer(s.ID, 503, "") }, false},
+		"500":                   {func(s *stand.H2Stream) { s.Conn.Answer(s.ID, 500, "x") }, false},
+		"CANCEL":                {reset(http2.ErrCodeCancel), false},
+		"NO_ERROR":              {reset(http2.ErrCodeNo), false},
+		"the connection breaks": {func(s *stand.H2Stream) { s.Conn.Conn.Close() }, false},
+		"no answer at all":      {func(s *stand.H2Stream) { s.Conn.Conn.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n")) }, false},
+		"a malformed answer":    {func(s *stand.H2Stream) { s.Conn.Answer(s.ID, 200, "x", "Upper", "case") }, false},
+		"a length that lies":    {func(s *stand.H2Stream) { s.Conn.Answer(s.ID, 200, "x", "content-length", "5") }, false},
+		"an answer too large":   {func(s *stand.H2Stream) { s.Conn.Answer(s.ID, 200, strings.Repeat("x", 64<<10+1)) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newBackRig(t, 2, nil)
+			came := make(chan string, 16)
+			for _, n := range r.site.Nodes { // the first that gets it is rude, once
+				n.Rude(func(s *stand.H2Stream) bool {
+					came <- n.ID()
+					if len(came) > 1 {
+						return false
+					}
+					x.do(s)
+					return true
+				})
+			}
+			a := r.call(r.dial(nil), booking("b"))
+			if x.again {
+				if a.Status != 200 {
+					t.Errorf("got %+v", a)
+				}
+				if len(came) != 2 || <-came == <-came {
+					t.Errorf("it came %d times, or to one node twice", len(came))
+				}
+				r.ran("b", 1)
+				return
+			}
+			first := <-came
+			for len(came) > 0 {
+				if next := <-came; next != first {
+					t.Errorf("it may have run at %s and went to %s", first, next)
+				}
+			}
+			if a.Status != 200 && (a.Status != 502 && a.Status != 504 || a.Fields["sloepick-ran"] != "unknown") {
+				t.Errorf("got %+v", a)
+			}
+		})
+	}
+}
+
+// Many attempts share a connection, up to what the node allows, which may be lowered; giving one up leaves the others.
+func TestStreamsShareConnections(t *testing.T) {
+	r := newBackRig(t, 1, func(b *BackConfig) { b.Connections = 1 })
+	conns := make(chan *stand.H2NodeConn, 64)
+	r.site.Nodes[0].Rude(func(s *stand.H2Stream) bool {
+		conns <- s.Conn
+		return false
+	})
+	let := r.hold()
+	c := r.dial(nil)
+	var open []uint32
+	for i := range 3 {
+		open = append(open, r.ask(c, look(fmt.Sprint(i))))
+	}
+	r.arrived(2) // the node has two cores; the third waits in its queue or arrives too
+	one := <-conns
+	if other := <-conns; other != one {
+		t.Error("two connections were made")
+	}
+	if err := c.Framer.WriteRSTStream(open[0], http2.ErrCodeCancel); err != nil {
+		t.Fatal(err)
+	}
+	let()
+	for range 2 {
+		if a := r.read(c); a.Status != 200 || a.Stream == open[0] {
+			t.Errorf("got %+v", a)
+		}
+	}
+	one.Frames(func(f *http2.Framer) { f.WriteSettings(http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: 0}) })
+	one.Frames(func(f *http2.Framer) { f.WritePing(false, [8]byte{}) })
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) { // until it was taken
+		if a := r.call(c, look(fmt.Sprintf("full-%d", time.Now().UnixNano()))); a.Status == 503 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("attempts go on over the node's bound")
+		}
+	}
+}
+
+// A node's GOAWAY: what is open on the connection is answered, what comes next takes a new one, and nothing is lost.
+func TestNodeGoesAway(t *testing.T) {
+	r := newBackRig(t, 1, nil)
+	conns := make(chan *stand.H2NodeConn, 64)
+	r.site.Nodes[0].Rude(func(s *stand.H2Stream) bool {
+		conns <- s.Conn
+		return false
+	})
+	let := r.hold()
+	c := r.dial(nil)
+	first := r.ask(c, look("first"))
+	old := <-conns
+	old.Frames(func(f *http2.Framer) { f.WriteGoAway(1, http2.ErrCodeNo, nil) })
+	var second uint32
+	for { // until one takes the new connection: the GOAWAY may still be on its way
+		second = r.ask(c, look(fmt.Sprintf("next-%d", time.Now().UnixNano())))
+		if <-conns != old {
+			break
+		}
+	}
+	let()
+	seen := map[uint32]int{}
+	for seen[first] == 0 || seen[second] == 0 {
+		a := r.read(c)
+		seen[a.Stream] = a.Status
+	}
+	if seen[first] != 200 || seen[second] != 200 {
+		t.Errorf("got %v", seen)
+	}
+}
+
+// One connection carries many clinics' attempts when its node drains: all are answered, and nothing new goes to it.
+func TestNodeDrainsUnderStreams(t *testing.T) {
+	r := newBackRig(t, 2, nil)
+	let := r.hold()
+	c := r.dial(nil)
+	open := map[uint32]bool{}
+	for i := range 4 {
+		q := look(fmt.Sprint("open-", i))
+		q.Customer = fmt.Sprintf("%016x", i+1)
+		open[r.ask(c, q)] = true
+	}
+	r.arrived(4)
+	before := len(r.site.Tally.Arrivals())
+	r.site.Nodes[0].Rude(func(*stand.H2Stream) bool { return false })
+	if err := r.site.Drain(0); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(r.site.Platform.Rules.DrainGrace) // what the rule allows
+	for i := range 10 {
+		q := look(fmt.Sprint("late-", i))
+		q.Customer = fmt.Sprintf("%016x", i+1)
+		open[r.ask(c, q)] = true
+	}
+	let()
+	for range 14 {
+		a := r.read(c)
+		if !open[a.Stream] || a.Status != 200 && a.Status != 503 {
+			t.Errorf("got %+v", a)
+		}
+		delete(open, a.Stream)
+	}
+	for _, a := range r.site.Tally.Arrivals()[before:] {
+		if a.Node == r.site.Nodes[0].ID() {
+			t.Errorf("%s came to the node that drains", a.ID)
+		}
+	}
+}
+
+// A connection that is silent is found by PING in the stated time, and what was on it may have run.
+func TestSilentConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ended := make(chan error, 1)
+	go func() { // takes all and says nothing
+		nc, err := ln.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		buf := make([]byte, 4096)
+		for err == nil {
+			_, err = nc.Read(buf)
+		}
+		ended <- err
+		ln.Close()
+	}()
+	r := newBackRig(t, 1, func(b *BackConfig) { b.Ping = 50 * time.Millisecond })
+	list := r.site.List()
+	list.Version, list.Servers[0].Addr = 99, ln.Addr().String()
+	if err := r.site.Discovery.Set(99, list); err != nil {
+		t.Fatal(err)
+	}
+	c := r.dial(nil)
+	for i := 0; ; i++ { // until the gateway has the list
+		id := r.ask(c, booking(fmt.Sprint("b", i)))
+		a := r.read(c)
+		if a.Stream != id {
+			t.Fatalf("got %+v", a)
+		}
+		if a.Status == 200 {
+			continue
+		}
+		if a.Fields["sloepick-ran"] != "unknown" {
+			t.Errorf("got %+v", a)
+		}
+		break
+	}
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Error("the silent connection is kept")
+	}
+}
+
+// The mixed load with half of the nodes behind HTTP/2, and all: the same quotas and endings as by RESP2 alone.
+func TestMixedBacks(t *testing.T) {
+	const seed = 3
+	units, ends := playMix(t, seed, 0, func(int) bool { return false })
+	for _, nodes := range []int{1, 2} {
+		u, e := playMix(t, seed, nodes, func(i int) bool { return i%2 == 0 })
+		if fmt.Sprint(u) != fmt.Sprint(units) || fmt.Sprint(e) != fmt.Sprint(ends) {
+			t.Errorf("with %d of 2 nodes by HTTP/2: units %v, by RESP2 %v", nodes, u, units)
+		}
+	}
+}
--- a/internal/h2/front_test.go
+++ b/internal/h2/front_test.go
@@ -61,10 +61,15 @@
 }
 
 func newRig(t *testing.T, p *stand.Platform, change func(*gateway.Config, *Listener)) *rig {
+	t.Helper()
+	return newRigOf(t, p, 2, change)
+}
+
+func newRigOf(t *testing.T, p *stand.Platform, nodes int, change func(*gateway.Config, *Listener)) *rig {
 	t.Helper()
 	r := &rig{t: t, done: make(chan error, 1)}
 	var err error
-	if r.site, err = stand.NewSite(p, 2); err != nil {
+	if r.site, err = stand.NewSite(p, nodes); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(r.site.Close)
@@ -451,9 +456,12 @@
 
 // play sends the same drawn requests by one protocol, the other, or each by either, with a node that drains half way, and
 // tells the units that were let in for each customer, and how each request ended.
-func playMix(t *testing.T, seed uint64, mix func(i int) bool) (units map[string]float64, ends []string) {
+func playMix(t *testing.T, seed uint64, h2Nodes int, mix func(i int) bool) (units map[string]float64, ends []string) {
 	p := platform()
-	r := newRig(t, p, nil)
+	p.H2Nodes = h2Nodes
+	r := newRig(t, p, func(cfg *gateway.Config, _ *Listener) {
+		cfg.Backs = map[string]gateway.Back{stand.H2Kind: NewBack(BackConfig{Streams: 100, Connections: 2, Ping: patience, Idle: patience})}
+	})
 	rnd := seeds.Rand(seed)
 	c, old := r.dial(nil), (*stand.Client)(nil)
 	var err error
@@ -525,9 +533,9 @@
 // request, and one answer each.
 func TestMixedProtocolsOneQuota(t *testing.T) {
 	seeds.Play(t, []uint64{1, 2}, func(t *testing.T, seed uint64) {
-		units, ends := playMix(t, seed, func(int) bool { return false })
+		units, ends := playMix(t, seed, 0, func(int) bool { return false })
 		for name, mix := range map[string]func(int) bool{"HTTP/2": func(int) bool { return true }, "both": func(i int) bool { return i%2 == 0 }} {
-			u, e := playMix(t, seed, mix)
+			u, e := playMix(t, seed, 0, mix)
 			if fmt.Sprint(u) != fmt.Sprint(units) {
 				t.Errorf("%s: %v units, by RESP2 %v", name, u, units)
 			}
--- a/internal/h2/wire/client.go
+++ b/internal/h2/wire/client.go
@@ -36,9 +36,10 @@
 }
 
 // Ask begins a request, as far as the server's windows take its body, and tells its stream. It is owed one event: Answered,
-// Refused or Left, unless Reset ends it. It reports false, and nothing has gone out, where there is no Room.
+// Refused or Left, unless Reset ends it. It reports false, and nothing has gone out, where there is no Room, or where more
+// than Limits.Unsent bytes of bodies would wait for the server's windows.
 func (c *Conn) Ask(fields []hpack.HeaderField, body []byte) (id uint32, ok bool) {
-	if c.Room() == 0 {
+	if c.Room() == 0 || c.unsent+len(body) > c.limits.Unsent {
 		return 0, false
 	}
 	if id = c.last + 2; c.last == 0 {
--- a/internal/h2/wire/wire_test.go
+++ b/internal/h2/wire/wire_test.go
@@ -228,3 +228,46 @@
 		c.Out()
 	})
 }
+
+// FuzzClient feeds whatever bytes to a client with requests out.
+func FuzzClient(f *testing.F) {
+	text, err := os.ReadFile(filepath.Join("testdata", "client.txt"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, part := range strings.Split("\n"+string(text), "\n== ")[1:] {
+		p := newPlayer(nil, small())
+		p.send([]string{"settings"})
+		for _, line := range strings.Split(part, "\n") {
+			if strings.HasPrefix(line, "> ") {
+				p.send(strings.Fields(line[2:]))
+			}
+		}
+		f.Add(p.bytes.Bytes(), uint16(len(part)))
+	}
+	f.Fuzz(func(t *testing.T, b []byte, cut uint16) {
+		c, now, owed := NewClient(small(), time.Hour), time.Hour, map[uint32]bool{}
+		at := int(cut) % (len(b) + 1)
+		for _, p := range [][]byte{b[:at], b[at:]} {
+			if id, ok := c.Ask([]hpack.HeaderField{{Name: ":method", Value: "POST"}}, make([]byte, int(cut)%200)); ok {
+				owed[id] = true
+			}
+			for _, e := range c.Feed(now, p) {
+				if e.Kind == Answered || e.Kind == Refused || e.Kind == Left {
+					if !owed[e.Stream] {
+						t.Fatalf("stream %d ended twice, or was never begun", e.Stream)
+					}
+					delete(owed, e.Stream)
+				}
+			}
+			if !c.Failed() {
+				holds(t, c)
+				if len(owed) != c.Open() {
+					t.Fatalf("%d requests are owed an event, %d streams are open", len(owed), c.Open())
+				}
+			} else if len(owed) > 0 {
+				t.Fatalf("%d requests have had no event, and the connection is at its end", len(owed))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/stand/h2node.go
@@ -0,0 +1,223 @@
+package stand
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+// H2Stream is a request on a connection of a node's, by HTTP/2, for whoever makes the node misbehave.
+type H2Stream struct {
+	ID      uint32
+	Arrival Arrival
+	Body    []byte
+	Conn    *H2NodeConn
+}
+
+// H2NodeConn is a connection of a node's, made of raw frames. Its methods are safe for concurrent use.
+type H2NodeConn struct {
+	Conn    net.Conn
+	n       *Node
+	mu      sync.Mutex
+	framer  *http2.Framer
+	encoded bytes.Buffer
+	encoder *hpack.Encoder
+	open    map[uint32]chan struct{} // closed when the client gives the stream up
+}
+
+// Rude hands each request that came whole to a function first: if it reports true the node does nothing more for it, and it is
+// not tallied. It is for nodes that speak HTTP/2.
+func (n *Node) Rude(do func(*H2Stream) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rude = do
+}
+
+// Tell counts a request as come and having taken effect, for what Rude takes over.
+func (s *H2Stream) Tell() {
+	s.Conn.n.cfg.Tally.arrived(s.Arrival)
+	s.Conn.n.cfg.Tally.effect(s.Arrival.ID)
+}
+
+// Frames writes frames as the function has them.
+func (c *H2NodeConn) Frames(write func(*http2.Framer)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	write(c.framer)
+}
+
+// Answer writes an answer's HEADERS, and its body as DATA.
+func (c *H2NodeConn) Answer(stream uint32, status int, body string, fields ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.encoded.Reset()
+	all := append([]string{":status", strconv.Itoa(status)}, fields...)
+	for i := 0; i+1 < len(all); i += 2 {
+		c.encoder.WriteField(hpack.HeaderField{Name: all[i], Value: all[i+1]}) // into memory: it can't fail
+	}
+	c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, EndHeaders: true, EndStream: body == "", BlockFragment: c.encoded.Bytes()})
+	if body != "" {
+		c.framer.WriteData(stream, true, []byte(body))
+	}
+}
+
+const h2Streams = 100 // open at once, where the node's configuration tells nothing
+
+// serveH2 serves a connection until it ends. What is open then is given up.
+func (n *Node) serveH2(conn net.Conn) {
+	preface := make([]byte, len(http2.ClientPreface))
+	if _, err := io.ReadFull(conn, preface); err != nil || string(preface) != http2.ClientPreface {
+		return
+	}
+	c := &H2NodeConn{Conn: conn, n: n, framer: http2.NewFramer(conn, conn), open: map[uint32]chan struct{}{}}
+	c.framer.AllowIllegalWrites = true
+	c.encoder = hpack.NewEncoder(&c.encoded)
+	c.framer.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	streams := n.cfg.Streams
+	if streams == 0 {
+		streams = h2Streams
+	}
+	c.Frames(func(f *http2.Framer) {
+		f.WriteSettings(http2.Setting{ID: http2.SettingMaxConcurrentStreams, Val: uint32(streams)})
+	})
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer c.giveUpAll()
+	half := map[uint32]*H2Stream{}
+	for {
+		f, err := c.framer.ReadFrame()
+		if err != nil {
+			return
+		}
+		if s := c.take(f, half); s != nil {
+			gone := c.opened(s.ID)
+			wg.Go(func() { c.serve(s, gone) })
+		}
+	}
+}
+
+// take takes a frame, and returns a request that is whole.
+func (c *H2NodeConn) take(f http2.Frame, half map[uint32]*H2Stream) *H2Stream {
+	id := f.Header().StreamID
+	switch f := f.(type) {
+	case *http2.SettingsFrame:
+		if !f.IsAck() {
+			c.Frames(func(w *http2.Framer) { w.WriteSettingsAck() })
+		}
+	case *http2.PingFrame:
+		data := f.Data
+		if !f.IsAck() {
+			c.Frames(func(w *http2.Framer) { w.WritePing(true, data) })
+		}
+	case *http2.RSTStreamFrame:
+		delete(half, id)
+		c.giveUp(id)
+	case *http2.MetaHeadersFrame:
+		s := &H2Stream{ID: id, Conn: c, Arrival: c.n.arrival(f)}
+		if f.StreamEnded() {
+			return s
+		}
+		half[id] = s
+	case *http2.DataFrame:
+		s := half[id]
+		if s == nil {
+			return nil
+		}
+		s.Body = append(s.Body, f.Data()...)
+		if n := f.Length; n > 0 {
+			c.Frames(func(w *http2.Framer) { w.WriteWindowUpdate(0, n) })
+		}
+		if f.StreamEnded() {
+			delete(half, id)
+			return s
+		}
+	}
+	return nil
+}
+
+// arrival reads a request in the mapping's words.
+func (n *Node) arrival(f *http2.MetaHeadersFrame) Arrival {
+	a := Arrival{Node: n.cfg.ID, Units: 1, At: time.Now()}
+	for _, h := range f.Fields {
+		switch h.Name {
+		case ":path":
+			a.Class = h.Value[strings.LastIndexByte(h.Value, '/')+1:]
+		case "sloepick-customer":
+			a.Customer = h.Value
+		case "sloepick-id":
+			a.ID = h.Value
+		case "idempotency-key":
+			a.Key = strings.Trim(h.Value, `"`)
+		case "sloepick-units":
+			a.Units, _ = strconv.ParseFloat(h.Value, 64) // 0 shows in the tally
+		}
+	}
+	a.Work = n.cfg.Work[a.Class]
+	return a
+}
+
+func (c *H2NodeConn) serve(s *H2Stream, gone <-chan struct{}) {
+	c.n.mu.Lock()
+	rude := c.n.rude
+	c.n.mu.Unlock()
+	if rude != nil && rude(s) {
+		return
+	}
+	result := givenUp
+	if s.Arrival.Work > 0 {
+		result = c.n.work(s.Arrival, gone)
+	}
+	if !c.closed(s.ID) {
+		return
+	}
+	switch result {
+	case turnedAway:
+		c.Answer(s.ID, 503, "", "sloepick-ran", "never")
+	case done:
+		c.Answer(s.ID, 200, Value(s.Arrival.ID))
+	default:
+		c.Answer(s.ID, 400, "")
+	}
+}
+
+func (c *H2NodeConn) opened(id uint32) <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	gone := make(chan struct{})
+	c.open[id] = gone
+	return gone
+}
+
+// closed takes a stream out, and reports whether it was there still.
+func (c *H2NodeConn) closed(id uint32) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.open[id]
+	delete(c.open, id)
+	return ok
+}
+
+func (c *H2NodeConn) giveUp(id uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if gone, ok := c.open[id]; ok {
+		close(gone)
+		delete(c.open, id)
+	}
+}
+
+func (c *H2NodeConn) giveUpAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, gone := range c.open {
+		close(gone)
+		delete(c.open, id)
+	}
+}
--- a/internal/stand/node.go
+++ b/internal/stand/node.go
@@ -77,6 +77,8 @@
 	ColdFrom float64 // share of its speed right after a restart
 	ColdFor  time.Duration
 	Tally    *Tally
+	H2       bool // it speaks HTTP/2 and nothing else
+	Streams  int  // open at once on a connection, by HTTP/2; 0: 100
 }
 
 // Node is a booking node that works: it takes its time, drops repeats of keys, turns away what is too much, and stops
@@ -94,6 +96,7 @@
 	started  time.Time // zero: long ago
 	counts   Counts
 	stall    func(Arrival) time.Duration
+	rude     func(*H2Stream) bool
 }
 
 // Counts are a node's own figures.
@@ -102,7 +105,7 @@
 // NewNode starts a node that has been warm for long.
 func NewNode(cfg NodeConfig) (*Node, error) {
 	n := &Node{cfg: cfg, slots: make(chan struct{}, cfg.Cores)}
-	l, err := listen(n.serve)
+	l, err := listen(n.speak())
 	if err != nil {
 		return nil, err
 	}
@@ -156,7 +159,7 @@
 // that was.
 func (n *Node) Restart() (time.Time, error) {
 	n.Close()
-	l, err := listenAt(n.addr, n.serve)
+	l, err := listenAt(n.addr, n.speak())
 	if err != nil {
 		return time.Time{}, err
 	}
@@ -178,6 +181,14 @@
 	return c.ColdFrom + (1-c.ColdFrom)*float64(since)/float64(c.ColdFor)
 }
 
+// speak is how it serves a connection.
+func (n *Node) speak() func(net.Conn) {
+	if n.cfg.H2 {
+		return n.serveH2
+	}
+	return n.serve
+}
+
 func (n *Node) serve(conn net.Conn) {
 	commands, gone := make(chan [][]byte), make(chan struct{})
 	go func() {
@@ -213,16 +224,36 @@
 	if !ok {
 		return "-SYNTAX\r\n"
 	}
+	switch n.work(a, gone) {
+	case turnedAway:
+		return "-BUSY\r\n"
+	case done:
+		return Served(Value(a.ID))
+	}
+	return ""
+}
+
+// ended is how a request ended at a node.
+type ended int
+
+const (
+	givenUp ended = iota // nobody waits for it
+	turnedAway
+	done
+)
+
+// work does what a request asks for.
+func (n *Node) work(a Arrival, gone <-chan struct{}) ended {
 	n.cfg.Tally.arrived(a)
 	if !n.enter() {
-		return "-BUSY\r\n"
+		return turnedAway
 	}
 	defer n.leave()
 	select {
 	case n.slots <- struct{}{}:
 		defer func() { <-n.slots }()
 	case <-gone:
-		return ""
+		return givenUp
 	}
 	n.mu.Lock()
 	started, stall, quick := n.started, n.stall, n.quick
@@ -246,9 +277,9 @@
 	select {
 	case <-t.C:
 	case <-gone:
-		return ""
+		return givenUp
 	}
-	return Served(Value(a.ID))
+	return done
 }
 
 // Value is what a node answers to a request, so that a client can tell its own.
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -27,8 +27,12 @@
 	Zone    string
 	Sockets int
 	Memory  int // MB
+	H2Nodes int // so many of the nodes speak HTTP/2 and are of H2Kind
 }
 
+// H2Kind is the kind of nodes that speak HTTP/2, as discovery tells it.
+const H2Kind = "std-h2"
+
 // Place is where one gateway of a platform listens.
 type Place struct{ Listen, Peer string }
 
--- a/internal/stand/site.go
+++ b/internal/stand/site.go
@@ -42,12 +42,16 @@
 	for i := range nodes {
 		cell := cells[i%siteCells]
 		n, err := NewNode(NodeConfig{ID: fmt.Sprintf("node-%d", i), Cell: cell, Cores: p.Rules.Cores, Queue: siteQueue, Work: work,
-			ColdFrom: p.Rules.ColdFrom, ColdFor: p.Rules.ColdFor, Tally: s.Tally})
+			ColdFrom: p.Rules.ColdFrom, ColdFor: p.Rules.ColdFor, Tally: s.Tally, H2: i < p.H2Nodes})
 		if err != nil {
 			return s, err
 		}
 		s.Nodes = append(s.Nodes, n)
-		s.entries = append(s.entries, Entry{ID: n.ID(), Addr: n.Addr(), Zone: p.Zone, Kind: "std-2c", Cell: cell.ID, State: "up", Weight: 1})
+		kind := "std-2c"
+		if i < p.H2Nodes {
+			kind = H2Kind
+		}
+		s.entries = append(s.entries, Entry{ID: n.ID(), Addr: n.Addr(), Zone: p.Zone, Kind: kind, Cell: cell.ID, State: "up", Weight: 1})
 	}
 	s.Discovery, err = NewDiscovery(s.version, s.List())
 	return s, err
