Play the mixed load under resets, drains and a restart; every flood on sockets

Need: what HTTP/2 promises has to hold together, and for the usual client while another one floods.

Memory and the 99th percentile beside large answers are measured by -protocols.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -46,10 +46,16 @@
 
 // newRigOf is a rig with so many nodes.
 func newRigOf(t *testing.T, operator string, nodes int) *rig {
+	t.Helper()
+	return newRigAt(t, operator, stand.Clinic(), nodes)
+}
+
+// newRigAt is one of a platform.
+func newRigAt(t *testing.T, operator string, platform *stand.Platform, nodes int) *rig {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
-	site, err := stand.NewSite(stand.Clinic(), nodes)
+	site, err := stand.NewSite(platform, nodes)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/protocols_test.go
+++ b/internal/daemon/protocols_test.go
@@ -107,6 +107,146 @@
 		float64(r.switches()-switches)/n, took[len(took)/2].Round(10*time.Microsecond), took[len(took)*99/100].Round(10*time.Microsecond), len(took), *lookups)
 }
 
+// TestMemoryByProtocol tells what 1,000 idle connections and 10,000 streams whose requests are not whole cost the gateway.
+func TestMemoryByProtocol(t *testing.T) {
+	if !*protocols {
+		t.Skip("a measurement; -protocols runs it")
+	}
+	places, err := stand.Places(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := stand.Clinic()
+	p.Sockets = 4096
+	r := newRigAt(t, fmt.Sprintf("listener h2 {\n address = %q\n}\ngateway {\n clients {\n first-command = 1m\n write = 1m\n }\n}\n", places[0].Listen), p, 2)
+	rss := func() int {
+		n, err := strconv.Atoi(r.proc("status", "VmRSS:"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	dial := func(n int) (all []*stand.H2Client) {
+		for range n {
+			c, err := stand.DialH2(places[0].Listen, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(c.Close)
+			all = append(all, c)
+		}
+		for _, c := range all {
+			synced(t, c)
+		}
+		return all
+	}
+	dial(1)
+	before := rss()
+	conns := dial(1000)
+	idle := rss()
+	for i := range 10000 {
+		c := conns[i/100]
+		block := c.Block(stand.H2Request{Path: "/v1/do/slot-book", Customer: costCustomer(0, i), Plan: "network", ID: fmt.Sprint("m", i),
+			Key: fmt.Sprint("k", i), Patience: time.Second, Units: "1"})
+		if err := c.Framer.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(1 + 2*(i%100)), EndHeaders: true, BlockFragment: block}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range conns[:100] {
+		synced(t, c)
+	}
+	t.Logf("%.1f KiB an idle connection of 1,000, %.2f KiB an open stream of 10,000", float64(idle-before)/1000, float64(rss()-idle)/10000)
+}
+
+// synced waits until the gateway has taken all that was sent.
+func synced(t *testing.T, c *stand.H2Client) {
+	t.Helper()
+	if err := c.Framer.WritePing(false, [8]byte{7}); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		f, err := c.Framer.ReadFrame()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p, ok := f.(*http2.PingFrame); ok && p.IsAck() {
+			return
+		}
+	}
+}
+
+// TestBesideLargeAnswers tells the 99th percentile of small look-ups on a connection by itself, and beside answers of 64 KiB
+// on the same connection, in turn.
+func TestBesideLargeAnswers(t *testing.T) {
+	if !*protocols {
+		t.Skip("a measurement; -protocols runs it")
+	}
+	places, err := stand.Places(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := stand.Clinic()
+	p.H2Nodes = 4
+	r := newRigAt(t, fmt.Sprintf("listener h2 {\n address = %q\n}\nback %s {\n}\n", places[0].Listen, stand.H2Kind), p, 4)
+	large := strings.Repeat("x", 64<<10)
+	for _, n := range r.site.Nodes {
+		n.Quick()
+		n.Rude(func(s *stand.H2Stream) bool {
+			if !strings.HasPrefix(s.Arrival.ID, "large") {
+				return false
+			}
+			s.Conn.Answer(s.ID, 200, large)
+			return true
+		})
+	}
+	for round := range costRounds {
+		for _, beside := range []bool{false, true} {
+			c, err := stand.DialH2(places[0].Listen, nil, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 1 << 20})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := c.Conn.SetDeadline(time.Now().Add(time.Minute)); err != nil {
+				t.Fatal(err)
+			}
+			var took []time.Duration
+			for i := range 2000 {
+				q := stand.H2Request{Path: "/v1/ask/slot-lookup", Customer: costCustomer(round, i), Plan: "network", Patience: 1200 * time.Millisecond, Units: "1"}
+				if beside {
+					q.ID = fmt.Sprintf("large-%d-%d", round, i)
+					if _, err := c.Ask(q); err != nil {
+						t.Fatal(err)
+					}
+				}
+				q.ID, q.Customer = fmt.Sprintf("small-%d-%d-%v", round, i, beside), costCustomer(round+costRounds, i)
+				start := time.Now()
+				id, err := c.Ask(q)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for n := 0; n < 1+b2i(beside); n++ {
+					a, err := c.Read()
+					if err != nil {
+						t.Fatal(err)
+					}
+					if a.Stream == id && a.Status == 200 {
+						took = append(took, time.Since(start))
+					}
+				}
+			}
+			c.Close()
+			slices.Sort(took)
+			t.Logf("round %d, beside large answers %v: p50 %v p99 %v over %d", round, beside, took[len(took)/2], took[len(took)*99/100], len(took))
+		}
+	}
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // switches are the times that the gateway's threads gave up a processor.
 func (r *rig) switches() (sum int64) {
 	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", r.gateway.PID()))
--- a/internal/h2/front_test.go
+++ b/internal/h2/front_test.go
@@ -11,6 +11,7 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"log/slog"
@@ -43,6 +44,8 @@
 	site  *stand.Site
 	resp  string
 	front *Front
+	cfg   gateway.Config
+	l     Listener
 	stop  context.CancelFunc
 	done  chan error
 }
@@ -95,33 +98,46 @@
 	if change != nil {
 		change(&cfg, &l)
 	}
-	if r.front, err = NewFront(l); err != nil {
-		t.Fatal(err)
+	r.cfg, r.l, r.resp = cfg, l, places[0].Listen
+	r.start()
+	t.Cleanup(r.end)
+	return r
+}
+
+// start starts the gateway and waits until it answers.
+func (r *rig) start() {
+	r.t.Helper()
+	var err error
+	if r.front, err = NewFront(r.l); err != nil {
+		r.t.Fatal(err)
 	}
-	r.resp = places[0].Listen
-	cfg.Fronts = []gateway.Front{r.front}
+	r.cfg.Fronts = []gateway.Front{r.front}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
-	go func() { r.done <- gateway.Run(ctx, cfg, nil, slog.New(slog.DiscardHandler)) }()
-	t.Cleanup(func() {
-		cancel()
-		select {
-		case <-r.done:
-		case <-time.After(patience):
-			t.Error("the gateway does not end")
-		}
-	})
+	go func() { r.done <- gateway.Run(ctx, r.cfg, nil, slog.New(slog.DiscardHandler)) }()
 	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
 		c, err := stand.Dial(r.resp)
 		if err == nil {
 			c.Close()
-			break
+			return
 		}
 		if time.Now().After(end) {
-			t.Fatal(err)
+			r.t.Fatal(err)
 		}
 	}
-	return r
+}
+
+// end stops it as SIGTERM would, and waits.
+func (r *rig) end() {
+	r.stop()
+	select {
+	case err := <-r.done:
+		if err != nil {
+			r.t.Error(err)
+		}
+	case <-time.After(patience):
+		r.t.Error("the gateway does not end")
+	}
 }
 
 func (r *rig) dial(by *tls.Config, settings ...http2.Setting) *stand.H2Client {
@@ -333,6 +349,49 @@
 	}
 }
 
+// A booking by HTTP/2 and its repeat by RESP2 with the same key, both before and after it was answered: it runs once in the
+// group, and each is answered.
+func TestOneKeyByBothProtocols(t *testing.T) {
+	p := platform()
+	r := newRigOf(t, p, 1, nil) // one group, so that the repeat meets the first
+	let := r.hold()
+	c := r.dial(nil)
+	q := look("first")
+	q.Path, q.Key = "/v1/do/slot-book", `"same"`
+	first := r.ask(c, q)
+	r.arrived(1)
+	old, err := stand.Dial(r.resp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	repeat := func(id string) {
+		if err := old.Send("Q.DO", customer, id, "c=slot-book,t=network,d=20000,k=same"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	repeat("second")
+	r.arrived(2)
+	let()
+	if a := r.read(c); a.Stream != first || a.Status != 200 {
+		t.Errorf("got %+v", a)
+	}
+	if got, err := old.Read(); err != nil || got != "$"+stand.Value("second") {
+		t.Errorf("got %q, %v", got, err)
+	}
+	repeat("third")
+	if got, err := old.Read(); err != nil || got != "$"+stand.Value("third") {
+		t.Errorf("got %q, %v", got, err)
+	}
+	ran := 0
+	for _, n := range r.site.Tally.Effects() {
+		ran += n
+	}
+	if ran != 1 {
+		t.Errorf("it took effect %d times", ran)
+	}
+}
+
 // The gateway's end: two GOAWAYs, what was open and what crossed the first is answered, and then the connection ends.
 func TestEndInTwoSteps(t *testing.T) {
 	r := newRig(t, platform(), func(cfg *gateway.Config, _ *Listener) {
@@ -367,7 +426,7 @@
 	if err := <-r.done; err != nil {
 		t.Error(err)
 	}
-	r.done <- nil
+	r.done <- nil // for the rig's own end
 }
 
 // A client that sends GOAWAY still gets what it is owed.
@@ -421,21 +480,128 @@
 	}
 }
 
-// More idle connections than there are descriptors: the quiet ones make room, and a client that asks is served.
+var idle = flag.Int("idle", 1500, "silent connections of the test of their bound; 10000 in its long form")
+
+// Far more silent connections than there are descriptors: the quiet ones make room, and a client that asks is served.
 func TestIdleConnections(t *testing.T) {
 	r := newRig(t, platform(), func(cfg *gateway.Config, _ *Listener) { cfg.Sockets = 256 })
-	for range 600 {
+	good := r.dial(nil)
+	for i := range *idle {
 		nc, err := net.Dial("tcp", r.front.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer nc.Close()
+		if i%100 != 0 {
+			continue
+		}
+		q := look(fmt.Sprint("good-", i))
+		q.Customer = fmt.Sprintf("%016x", i+1)
+		if id, err := good.Ask(q); err == nil {
+			if a, err := good.Read(); err == nil && !a.Away && (a.Stream != id || a.Status != 200) {
+				t.Fatalf("got %+v", a)
+			} else if err == nil && !a.Away {
+				continue
+			}
+		}
+		good = r.dial(nil) // it had been quiet for longest, and was told
 	}
 	if a := r.call(r.dial(nil), look("one")); a.Status != 200 {
 		t.Errorf("got %+v", a)
 	}
 }
 
+// Each flood on sockets: its client is sent away with the right code, and the usual one is served before and after.
+func TestFloods(t *testing.T) {
+	const many = 5000
+	block := func(f *http2.Framer, id uint32, ends bool) {
+		q := look(fmt.Sprint("flood-", id))
+		q.Customer = "0000000000000009"
+		f.WriteHeaders(http2.HeadersFrameParam{StreamID: id, EndStream: ends, EndHeaders: true, BlockFragment: stand.NewH2Encoder().Block(q)})
+	}
+	for name, x := range map[string]struct {
+		flood func(f *http2.Framer, i int)
+		begin func(f *http2.Framer)
+		code  http2.ErrCode
+	}{
+		"PING (CVE-2019-9512)":       {flood: func(f *http2.Framer, _ int) { f.WritePing(false, [8]byte{}) }},
+		"SETTINGS (CVE-2019-9515)":   {flood: func(f *http2.Framer, _ int) { f.WriteSettings() }},
+		"PRIORITY (CVE-2019-9513)":   {flood: func(f *http2.Framer, i int) { f.WritePriority(1, http2.PriorityParam{StreamDep: uint32(3 + 2*(i%50))}) }},
+		"empty DATA (CVE-2019-9518)": {begin: func(f *http2.Framer) { block(f, 1, false) }, flood: func(f *http2.Framer, _ int) { f.WriteData(1, false, nil) }},
+		"CONTINUATION (CVE-2024-27316)": {begin: func(f *http2.Framer) {
+			f.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: []byte{0x82}})
+		}, flood: func(f *http2.Framer, _ int) { f.WriteContinuation(1, false, []byte{0x40, 1, 'a', 1, 'b'}) }},
+		"rapid reset (CVE-2023-44487)": {flood: func(f *http2.Framer, i int) {
+			block(f, uint32(1+2*i), true)
+			f.WriteRSTStream(uint32(1+2*i), http2.ErrCodeCancel)
+		}},
+		"made-you-reset (CVE-2025-8671)": {flood: func(f *http2.Framer, i int) {
+			block(f, uint32(1+2*i), true)
+			f.WriteRawFrame(http2.FrameWindowUpdate, 0, uint32(1+2*i), make([]byte, 4))
+		}},
+		"malformed requests (CVE-2019-9514)": {flood: func(f *http2.Framer, i int) {
+			f.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(1 + 2*i), EndStream: true, EndHeaders: true, BlockFragment: []byte{0x82}})
+		}},
+		"WINDOW_UPDATE by one (CVE-2019-9517)": {flood: func(f *http2.Framer, _ int) { f.WriteWindowUpdate(0, 1) }},
+		"HPACK: a table size beyond the bound": {flood: func(f *http2.Framer, i int) {
+			f.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(1 + 2*i), EndStream: true, EndHeaders: true, BlockFragment: []byte{0x3f, 0xe2, 0x1f, 0x82}})
+		}, code: http2.ErrCodeCompression},
+		"HPACK growth: a large field, referred": {flood: func(f *http2.Framer, i int) {
+			f.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(1 + 2*i), EndStream: true, EndHeaders: true, BlockFragment: growth(i)})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, platform(), nil)
+			good, rude := r.dial(nil), r.dial(nil)
+			if a := r.call(good, look("before")); a.Status != 200 {
+				t.Fatalf("got %+v", a)
+			}
+			ended := make(chan *http2.GoAwayFrame, 1)
+			go func() { // reads beside the writer, and answers nothing
+				for f := http2.NewFramer(nil, rude.Conn); ; {
+					x, err := f.ReadFrame()
+					if away, ok := x.(*http2.GoAwayFrame); ok || err != nil {
+						ended <- away
+						return
+					}
+				}
+			}()
+			f := http2.NewFramer(rude.Conn, nil)
+			f.AllowIllegalWrites = true
+			if x.begin != nil {
+				x.begin(f)
+			}
+			for i := range many {
+				x.flood(f, i) // errors show that it was sent away
+			}
+			if x.code == 0 {
+				x.code = http2.ErrCodeEnhanceYourCalm
+			}
+			select {
+			case a := <-ended:
+				if a == nil || a.ErrCode != x.code {
+					t.Errorf("the rude client got %v", a)
+				}
+			case <-time.After(patience):
+				t.Error("the flood goes on")
+			}
+			if a := r.call(good, look("after")); a.Status != 200 {
+				t.Errorf("the usual client got %+v", a)
+			}
+		})
+	}
+}
+
+// growth is a block whose first piece puts a large field into the table, and that then names it over and over.
+func growth(i int) []byte {
+	var b []byte
+	if i == 0 {
+		b = append(b, 0x40, 1, 'a', 0x7f, 0xa1, 0x1e) // a value of 4,000 bytes: 127 + 0x21 + 0x1e x 128
+		b = append(b, bytes.Repeat([]byte("x"), 127+0x21+0x1e*128)...)
+	}
+	return append(b, bytes.Repeat([]byte{0xbe}, 1000)...) // the table's newest
+}
+
 // A client that opens no window is given up after the stated time, on its stream alone.
 func TestNoWindow(t *testing.T) {
 	r := newRig(t, platform(), func(cfg *gateway.Config, _ *Listener) {
@@ -454,62 +620,155 @@
 	}
 }
 
-// play sends the same drawn requests by one protocol, the other, or each by either, with a node that drains half way, and
-// tells the units that were let in for each customer, and how each request ended.
-func playMix(t *testing.T, seed uint64, h2Nodes int, mix func(i int) bool) (units map[string]float64, ends []string) {
+// caller sends requests by either protocol, one at a time.
+type caller struct {
+	r   *rig
+	h2  *stand.H2Client
+	old *stand.Client
+}
+
+func (c *caller) dial() {
+	c.h2 = c.r.dial(nil)
+	var err error
+	if c.old, err = stand.Dial(c.r.resp); err != nil {
+		c.r.t.Fatal(err)
+	}
+	c.r.t.Cleanup(c.old.Close)
+}
+
+// words are a request as RESP2 has it.
+func words(q stand.H2Request) []string {
+	name, class, list := "Q.ASK", strings.TrimPrefix(q.Path, "/v1/ask/"), ""
+	if q.Key != "" {
+		name, class, list = "Q.DO", strings.TrimPrefix(q.Path, "/v1/do/"), ",k="+q.Key
+	}
+	return []string{name, q.Customer, q.ID, fmt.Sprintf("c=%s,t=%s,d=%d,units=%s%s", class, q.Plan, q.Patience.Milliseconds(), q.Units, list)}
+}
+
+// call asks and tells the status of the answer, as HTTP has it.
+func (c *caller) call(q stand.H2Request, byH2 bool) int {
+	c.r.t.Helper()
+	if byH2 {
+		status := c.r.call(c.h2, q).Status
+		if status == 503 { // RESP2 has one word for both
+			status = 429
+		}
+		return status
+	}
+	if err := c.old.Send(words(q)...); err != nil {
+		c.r.t.Fatal(err)
+	}
+	got, err := c.old.Read()
+	switch {
+	case err == nil && strings.HasPrefix(got, "$"):
+		return 200
+	case err == nil && strings.HasPrefix(got, "-BUSY"):
+		return 429
+	}
+	c.r.t.Fatalf("got %q, %v", got, err)
+	return 0
+}
+
+// leave asks on a connection of its own and goes away once the request has come to a node, or was answered.
+func (c *caller) leave(q stand.H2Request, byH2 bool) {
+	c.r.t.Helper()
+	answered := make(chan struct{})
+	if byH2 {
+		h2 := c.r.dial(nil)
+		id := c.r.ask(h2, q)
+		go func() {
+			h2.Read()
+			close(answered)
+		}()
+		c.wait(q.ID, answered)
+		h2.Conn.SetReadDeadline(time.Unix(1, 0)) // its reader ends, and the writer is alone
+		<-answered
+		if err := h2.Framer.WriteRSTStream(id, http2.ErrCodeCancel); err != nil {
+			c.r.t.Error(err)
+		}
+		return
+	}
+	old, err := stand.Dial(c.r.resp)
+	if err != nil {
+		c.r.t.Fatal(err)
+	}
+	if err := old.Send(words(q)...); err != nil {
+		c.r.t.Fatal(err)
+	}
+	go func() {
+		old.Read()
+		close(answered)
+	}()
+	c.wait(q.ID, answered)
+	old.Close()
+}
+
+// wait waits until a request has come to a node, or was answered.
+func (c *caller) wait(id string, answered <-chan struct{}) {
+	c.r.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		if slices.ContainsFunc(c.r.site.Tally.Arrivals(), func(a stand.Arrival) bool { return a.ID == id }) {
+			return
+		}
+		select {
+		case <-answered:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+	c.r.t.Fatalf("%s did not come to a node", id)
+}
+
+// playMix sends the same drawn requests by one protocol, the other, or each by either. Some clients go away while theirs is at
+// a node; a node drains, and the gateway is restarted. It tells the units that were let in for each customer, and how each
+// request ended.
+func playMix(t *testing.T, seed uint64, h2Nodes int, byH2 func(i int) bool) (units map[string]float64, ends []string) {
 	p := platform()
 	p.H2Nodes = h2Nodes
 	r := newRig(t, p, func(cfg *gateway.Config, _ *Listener) {
 		cfg.Backs = map[string]gateway.Back{stand.H2Kind: NewBack(BackConfig{Streams: 100, Connections: 2, Ping: patience, Idle: patience})}
 	})
-	rnd := seeds.Rand(seed)
-	c, old := r.dial(nil), (*stand.Client)(nil)
-	var err error
-	if old, err = stand.Dial(r.resp); err != nil {
-		t.Fatal(err)
+	for _, n := range r.site.Nodes {
+		n.Stall(func(a stand.Arrival) time.Duration {
+			if strings.HasPrefix(a.ID, "gone") {
+				return 50 * time.Millisecond
+			}
+			return 0
+		})
 	}
-	defer old.Close()
+	rnd, c := seeds.Rand(seed), &caller{r: r}
+	c.dial()
 	asked := map[string]float64{}
 	const requests = 300
 	for i := range requests {
-		if i == requests/2 {
+		switch i {
+		case requests / 2:
 			if err := r.site.Drain(0); err != nil {
 				t.Fatal(err)
 			}
+		case requests * 2 / 3:
+			c.h2.Close()
+			c.old.Close()
+			r.end()
+			r.start()
+			c.dial()
 		}
-		who := fmt.Sprintf("%016x", 1+rnd.IntN(12))
-		plan := p.Plans[rnd.IntN(len(p.Plans))].Name
-		id, units, book := fmt.Sprintf("r-%d", i), 1+rnd.IntN(2), rnd.IntN(2) == 0
-		key := fmt.Sprintf("k%d", rnd.IntN(1<<30))
-		asked[id] = float64(units)
-		status := 0
-		if mix(i) {
-			q := stand.H2Request{Path: "/v1/ask/slot-lookup", Customer: who, Plan: plan, ID: id, Patience: patience, Units: strconv.Itoa(units)}
-			if book {
-				q.Path, q.Key = "/v1/do/slot-book", key
-			}
-			status = r.call(c, q).Status
-		} else {
-			words := []string{"Q.ASK", who, id, fmt.Sprintf("c=slot-lookup,t=%s,d=20000,units=%d", plan, units)}
-			if book {
-				words = []string{"Q.DO", who, id, fmt.Sprintf("c=slot-book,t=%s,d=20000,k=%s,units=%d", plan, key, units)}
-			}
-			if err := old.Send(words...); err != nil {
-				t.Fatal(err)
-			}
-			got, err := old.Read()
-			switch {
-			case err != nil:
-				t.Fatal(err)
-			case strings.HasPrefix(got, "$"):
-				status = 200
-			case strings.HasPrefix(got, "-BUSY"):
-				status = 429
-			default:
-				t.Fatalf("got %q", got)
-			}
+		n := 1 + rnd.IntN(2)
+		q := stand.H2Request{Path: "/v1/ask/slot-lookup", Customer: fmt.Sprintf("%016x", 1+rnd.IntN(12)), Plan: p.Plans[rnd.IntN(len(p.Plans))].Name,
+			ID: fmt.Sprintf("r-%d", i), Patience: patience, Units: strconv.Itoa(n)}
+		if rnd.IntN(2) == 0 {
+			q.Path, q.Key = "/v1/do/slot-book", fmt.Sprintf("k%d", i)
+		}
+		leaves := rnd.IntN(20) == 0
+		if leaves {
+			q.ID = fmt.Sprintf("gone-%d", i)
+		}
+		asked[q.ID] = float64(n)
+		if leaves {
+			c.leave(q, byH2(i))
+			continue
 		}
-		ends = append(ends, fmt.Sprintf("%s %d", id, status))
+		ends = append(ends, fmt.Sprintf("%s %d", q.ID, c.call(q, byH2(i))))
 	}
 	units, seen := map[string]float64{}, map[string]bool{}
 	for _, a := range r.site.Tally.Arrivals() {
--- a/internal/stand/h2client.go
+++ b/internal/stand/h2client.go
@@ -68,6 +68,13 @@
 	return c, nil
 }
 
+// NewH2Encoder makes a client without a connection, for its Block alone.
+func NewH2Encoder() *H2Client {
+	c := &H2Client{}
+	c.encoder = hpack.NewEncoder(&c.encoded)
+	return c
+}
+
 // H2Request is a request in the mapping's words. What is empty is left out.
 type H2Request struct {
 	Path, Customer, Plan, ID, Key, Units, Set string
--- a/internal/stand/h2node.go
+++ b/internal/stand/h2node.go
@@ -63,8 +63,10 @@
 		c.encoder.WriteField(hpack.HeaderField{Name: all[i], Value: all[i+1]}) // into memory: it can't fail
 	}
 	c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, EndHeaders: true, EndStream: body == "", BlockFragment: c.encoded.Bytes()})
-	if body != "" {
-		c.framer.WriteData(stream, true, []byte(body))
+	for b := []byte(body); len(b) > 0; {
+		n := min(len(b), h2FrameMost)
+		c.framer.WriteData(stream, n == len(b), b[:n])
+		b = b[n:]
 	}
 }
 
