Expect the time of an answer by the units that its request tells

Large requests were sent where they could not be answered in time, their answers passed for slow servers, and shedding took them for eight times their worth at one request's work.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -538,9 +538,9 @@
 	s.Server = e
 }
 
-// estimate is the time in seconds that an answer of the server to a request of the class should take.
-func (g *Gateway) estimate(s *server, k *class) float64 {
-	return k.base * g.slowness(s) * (1 + g.load(s)) / (1 + s.outAvg)
+// estimate is the time in seconds that an answer of the server to the request should take.
+func (g *Gateway) estimate(s *server, r *request) float64 {
+	return r.class.usual(r.units) * g.slowness(s) * (1 + g.load(s)) / (1 + s.outAvg)
 }
 
 // slowness is a server's, faded by the time since its last answer.
@@ -582,13 +582,12 @@
 }
 
 // saw notes how an own request fared and keeps it to be told.
-func (g *Gateway) saw(s *server, k *class, took time.Duration, missed, failed bool) {
-	x := took.Seconds() / max(k.base, 1e-6)
+func (g *Gateway) saw(s *server, r *request, took time.Duration, missed, failed bool) {
+	k, x := r.class, took.Seconds()/r.class.usual(r.units)
 	g.note(s, k, x, missed, failed)
 	g.news.add(sight{s.short, k.no, x, missed, failed})
 	if !missed {
-		k.n++
-		k.base += max(baseGain, 1/k.n) * (took.Seconds() - k.base)
+		k.answered(r.units, took.Seconds())
 	}
 }
 
@@ -669,7 +668,7 @@
 			continue
 		}
 		most--
-		c := g.estimate(s, r.class) / max(0.2, 1-miss) * (1 + 0.02*g.rng.Float64())
+		c := g.estimate(s, r) / max(0.2, 1-miss) * (1 + 0.02*g.rng.Float64())
 		if s.Zone != g.cfg.Zone {
 			c *= crossZone
 		}
@@ -683,7 +682,7 @@
 	if best == nil {
 		return nil, 0
 	}
-	return best, g.estimate(best, r.class)
+	return best, g.estimate(best, r)
 }
 
 // thin is 1 where this gateway sees fewer answers in its memory than there are servers, and less where more.
@@ -772,7 +771,7 @@
 
 // shed decides whether the wait is too long for what the request is worth.
 func (g *Gateway) shed(r *request) bool {
-	value := r.class.Worth * r.cust.plan.Price * r.units / max(r.class.base, 1e-6)
+	value := r.class.Worth * r.cust.plan.Price * r.units / r.class.usual(r.units)
 	g.value += 0.01 * (value - g.value)
 	f := shedFrom + (1-shedFrom)*min(1, value/max(g.value, 1e-9))
 	return g.pressed() > f || g.rng.Float64() > math.Pow(g.flow, g.thin()*g.thin()*(1+1/f)/2)
@@ -795,7 +794,7 @@
 	if s.coldUntil > g.now {
 		s.budget--
 	}
-	wait := max(overdueMin, time.Duration(overdueX*g.estimate(s, r.class)*float64(time.Second)))
+	wait := max(overdueMin, time.Duration(overdueX*g.estimate(s, r)*float64(time.Second)))
 	s.out++
 	g.all.open++
 	s.sends.add(g.now, 1)
@@ -818,7 +817,7 @@
 // request is merely costly; if it has not, the server may be silent.
 func (g *Gateway) overdue(r *request, a *attempt) {
 	s := a.server
-	g.saw(s, r.class, g.now-a.at, true, true) // it may still come: no sign of a jam yet
+	g.saw(s, r, g.now-a.at, true, true) // it may still come: no sign of a jam yet
 	if s.lastGood > a.at {
 		return
 	}
@@ -848,7 +847,7 @@
 		return
 	}
 	if r.until-g.now >= b.CopyLeast && g.pressed() <= copyFrom && g.again(r, a.server) {
-		g.saw(a.server, r.class, g.now-a.at, true, true) // else a slow one would hide behind its copies
+		g.saw(a.server, r, g.now-a.at, true, true) // else a slow one would hide behind its copies
 	}
 }
 
@@ -965,18 +964,18 @@
 		before := len(s.ghosts)
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(at time.Duration) bool { return at < a.at })
 		g.all.open -= float64(before - len(s.ghosts))
-		g.saw(s, r.class, e.Took, false, false)
+		g.saw(s, r, e.Took, false, false)
 	case Error:
-		g.saw(s, r.class, e.Took, true, true)
+		g.saw(s, r, e.Took, true, true)
 		s.lastGood = g.now
 	case Full:
-		g.saw(s, r.class, e.Took, true, false) // its queue is full: a jam as well
+		g.saw(s, r, e.Took, true, false) // its queue is full: a jam as well
 		s.lastGood = g.now
 	case NoConnection, Reset:
-		g.saw(s, r.class, e.Took, true, true)
+		g.saw(s, r, e.Took, true, true)
 	case TimedOut, Cancelled:
 		if e.Outcome == TimedOut {
-			g.saw(s, r.class, e.Took, true, false)
+			g.saw(s, r, e.Took, true, false)
 		}
 		s.ghosts = append(s.ghosts, a.at)
 		g.all.open++
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -459,7 +459,7 @@
 	r := newRig(t, nil)
 	s := r.g.order[0]
 	for i := 0; i < 10; i++ {
-		r.g.saw(s, r.g.classes["get"], 3*time.Second, false, false)
+		r.g.saw(s, &request{class: r.g.classes["get"]}, 3*time.Second, false, false)
 	}
 	slow := r.g.slowness(s)
 	r.now += time.Minute
--- a/decide/state.go
+++ b/decide/state.go
@@ -59,6 +59,16 @@
 	no   int
 	base float64 // usual seconds of an answer
 	n    float64 // answers seen
+	by   shape   // how it goes with the units
+}
+
+// usual is the usual time in seconds of an answer to a request of so many units.
+func (k *class) usual(units float64) float64 { return max(k.base, 1e-6) * k.by.of(units) }
+
+func (k *class) answered(units, took float64) {
+	k.by.add(units, took/max(k.base, 1e-6))
+	k.n++
+	k.base += max(baseGain, 1/k.n) * (took - k.base)
 }
 
 // told is what one peer last said of a customer.
--- /dev/null
+++ b/decide/work_test.go
@@ -0,0 +1,76 @@
+package decide
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// TestTimesGoByUnits guards against large requests that are sent where they can't be answered in time, and against
+// their answers passing for slowness of the server: on a site where units tell the work, one of 8 units takes eight
+// times as long as one of 1.
+func TestTimesGoByUnits(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Classes[0].Aim = 750 * ms })
+	serve := func(units float64, took time.Duration) bool {
+		id, acts := r.ask("get", "wide", "c", units)
+		sent := find[Send](acts)
+		if len(sent) == 0 {
+			return false
+		}
+		r.now += took
+		r.do(AttemptEnded{ID: id, Server: sent[0].Server, Outcome: OK, Took: took, Done: true})
+		return true
+	}
+	for n := range 400 {
+		serve(float64(1+n%4), time.Duration(1+n%4)*75*ms)
+	}
+	k := r.g.classes["get"]
+	for _, units := range []float64{1, 2, 4, 8} {
+		if got := k.usual(units); math.Abs(got-0.075*units) > 0.2*0.075*units {
+			t.Errorf("%v units are thought to take %.3f s, want about %.3f", units, got, 0.075*units)
+		}
+	}
+	for range 30 {
+		serve(4, 300*ms)
+	}
+	for _, s := range r.g.order {
+		if x := r.g.slowness(s); x > 1.2 {
+			t.Errorf("%s passes for %.2f times slower than usual by the large requests that it served", s.ID, x)
+		}
+	}
+	if serve(16, 0) {
+		t.Error("a request that takes 1.2 s at least was sent on under an aim of 0.75 s")
+	}
+	if !serve(4, 300*ms) {
+		t.Error("a request that takes 0.3 s was refused")
+	}
+}
+
+// TestShapeOfTimes holds the line through units and times to what sites may tell: units as the work, the same for all
+// of a class, without bearing on it, or fewer for more work.
+func TestShapeOfTimes(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		units, time func(n int) float64
+		at, want    float64
+	}{
+		{"work", func(n int) float64 { return float64(1 + n%8) }, func(n int) float64 { return float64(1+n%8) / 4.5 }, 8, 8 / 4.5},
+		{"work and a fixed part", func(n int) float64 { return float64(1 + n%3) }, func(n int) float64 { return 0.5 + float64(1+n%3)/4 }, 3, 1.25},
+		{"the same", func(int) float64 { return 2 }, func(n int) float64 { return float64(1+n%3) / 2 }, 8, 1},
+		{"none", func(int) float64 { return 0 }, func(n int) float64 { return float64(1+n%3) / 2 }, 8, 1},
+		{"no bearing", func(n int) float64 { return float64(1 + n%2) }, func(n int) float64 { return 0.5 + float64(n/2%2) }, 8, 1},
+		{"fewer for more", func(n int) float64 { return float64(1 + n%2) }, func(n int) float64 { return float64(2 - n%2) }, 8, 1},
+		{"steeper than in proportion", func(n int) float64 { return float64(1 + n%2) }, func(n int) float64 { return 0.1 + 1.8*float64(n%2) }, 0, shapeLeast},
+	} {
+		var s shape
+		if got := s.of(c.at); got != 1 {
+			t.Errorf("%s: %v before any answer, want 1", c.name, got)
+		}
+		for n := range 2000 {
+			s.add(c.units(n), c.time(n))
+		}
+		if got := s.of(c.at); math.Abs(got-c.want) > 0.08*c.want {
+			t.Errorf("%s: %v units take %.3f times the usual, want %.3f", c.name, c.at, got, c.want)
+		}
+	}
+}
