Shed by how long answers take, not by a fixed count; prefer the own zone more

At fault: openLeast, 8 open a server whatever they take, and crossZone, 1.03, which the estimates' own 2 % of chance hide.

Change: openLeast holds where a usual request takes a fifth of the shortest aim; it is four times as much where answers are quick and half where they are slow. crossZone 1.15.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,7 +59,7 @@
 	slowGain   = 0.2             // gain of a server's slowness against that: a few answers tell
 	firstGuess = 0.2             // of the aim: the usual time before any answer
 	slowMemory = 2 * time.Second // slowness fades at least so slowly: the unused get another look
-	crossZone  = 1.03            // factor on the estimate of a server in another zone
+	crossZone  = 1.15            // factor on the estimate of a server in another zone
 	coldMargin = 0.5             // of the cold budget is used: costs vary and others' traffic is guessed
 	memoryOf   = 4.0             // answers of a server are how long its slowness is known ...
 	memoryMost = 20.0            // ... in seconds, this at most
@@ -80,6 +80,9 @@
 	overdueMin = 150 * time.Millisecond
 	budgetPart = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost = 10.0 // ... up to this many
+	openPart   = 0.2  // of the shortest aim: if a usual request takes that, openLeast is as it stands ...
+	openMost   = 4.0  // ... so many times as much at most, where it takes less ...
+	openSlow   = 0.5  // ... and no less than this, where it takes longer
 	openFree   = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
 	shedFrom   = 0.25 // of the cap on open work, where the least worth work is shed
 	flowShrink = 0.85 // of the flow let in on thin evidence, for each answer missed here or as told ...
@@ -783,7 +786,8 @@
 	n := g.all.serving
 	seen := 1 - math.Exp(-max(g.now-g.started, time.Second/4).Seconds()/partMemory.Seconds())
 	mine := g.done.get(g.now) / seen * waitPart * g.quickest
-	return max(0, g.all.open-openFree*g.thin()) / max(mine, openLeast*n/float64(g.cfg.Gateways))
+	least := openLeast * min(openMost, max(openSlow, openPart*g.quickest/max(g.usual, 1e-6)))
+	return max(0, g.all.open-openFree*g.thin()) / max(mine, least*n/float64(g.cfg.Gateways))
 }
 
 // shed decides whether the wait is too long for what the request is worth.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -761,6 +761,34 @@
 	}
 }
 
+// TestQuickAnswersPressNobody: where answers take a small part of the aim, bursts of open work are no reason to shed.
+func TestQuickAnswersPressNobody(t *testing.T) {
+	shedAt := func(took time.Duration) int {
+		var servers []Server
+		for i := range 12 {
+			servers = append(servers, Server{ID: fmt.Sprint("s", i), Zone: "a"})
+		}
+		r := newRig(t, func(c *Config) {
+			c.Plans = append(c.Plans, Plan{Name: "cheap", Rate: 1000, Burst: 3000, Price: 0.1})
+		}, servers...)
+		for range 400 {
+			r.now += 100 * ms
+			id, acts := r.ask("get", "wide", "x", 1)
+			r.do(AttemptEnded{ID: id, Server: find[Send](acts)[0].Server, Outcome: OK, Took: took, Done: true})
+		}
+		for n := range 400 {
+			if _, acts := r.ask("get", "cheap", "y", 1); len(find[Send](acts)) == 0 {
+				return n
+			}
+		}
+		return 400
+	}
+	quick, usual, slow := shedAt(20*ms), shedAt(200*ms), shedAt(600*ms)
+	if quick < 3*usual || slow >= usual {
+		t.Errorf("cheap work is shed from %d, %d and %d open on, want over three times as many where answers are quick and fewer where they are slow", quick, usual, slow)
+	}
+}
+
 // A server that is gone is forgotten once nothing of it is out, and not while it would still be cold: coming back
 // under its id must not renew its budget. Without this the tables grow with every release of the fleet.
 func TestGoneServersAreForgotten(t *testing.T) {
