Hold the cap on attempts out by what peers tell, not by rounded parts

A probe in admit(): 260 refusals by the cap alone with half of the quota unused; the cap there is 2 and 2 or 3 gateways serve a customer, so a part of it rounded up (customer.room) is 1 where the traffic is and 3 in all, one over. Ruled out: the bucket (11 refusals with half of it free) and the ceiling (65).

Change: the entries of messages carry the attempts out (version e; other versions are dropped, and their gateways fall to the rounded part). A gateway lets out what the cap leaves beside what its peers told, for 0.8 s after their word; the part decides while one is silent. Tests: each step of what peers tell, lost words, silent peers; the end of an attempt is told.

Loss: 13 bytes instead of 12 an entry.

--- a/decide/codec.go
+++ b/decide/codec.go
@@ -143,9 +143,9 @@
 // What peers tell all others: a head, and an entry for each customer of which something changed.
 const (
 	maxMessage = 256  // bytes of a message
-	msgVersion = "c"  // messages that begin otherwise are not understood and dropped
+	msgVersion = "e"  // messages that begin otherwise are not understood and dropped
 	msgHead    = 5    // version; two digits each: epoch, number
-	msgEntry   = 12   // customer of six digits, plan, used of two, asked of two, level
+	msgEntry   = 13   // customer of six digits, plan, used of two, asked of two, attempts out, level
 	levelSteps = 30.0 // digits of a told level for a whole burst
 )
 
@@ -172,12 +172,13 @@
 	encode(b, uint64(c.planNo), 1)
 	encode(b, uint64(int64(math.Round(c.usedSum)))&4095, 2)
 	encode(b, uint64(int64(math.Round(c.askedSum)))&4095, 2)
+	encode(b, uint64(min(63, c.open)), 1)
 	encode(b, uint64(min(63, math.Round(levelSteps*c.whole/max(c.plan.Burst, 1)))), 1)
 }
 
 // parseEntry reads an entry of a checked message; the level is a part of the burst.
-func parseEntry(s string) (key uint64, plan, used, asked int, level float64) {
+func parseEntry(s string) (key uint64, plan, used, asked, open int, level float64) {
 	key, _ = decode(s[:6])
 	v, _ := decode(s[6:])
-	return key, int(v >> 30), int(v >> 18 & 4095), int(v >> 6 & 4095), float64(v&63) / levelSteps
+	return key, int(v >> 36), int(v >> 24 & 4095), int(v >> 12 & 4095), int(v >> 6 & 63), float64(v&63) / levelSteps
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,8 +20,8 @@
 	meterStale  = 3 * time.Second  // the meter is late; older totals say nothing
 	meterGrow   = 1.02             // of the factor on the part, a report ...
 	meterShrink = 0.95             // ... while the metered total exceeds the rate
-	forgetAfter = 10 * time.Second // a customer that is as new is forgotten so long after its last use ...
-	toldFor     = 5 * time.Second  // ... well after peers have ceased to count on from the totals told of it
+	forgetAfter = 10 * time.Second // a customer that is as new is forgotten this long after its last use ...
+	toldFor     = 5 * time.Second  // ... well after peers cease to count on from its totals
 	sweepLeast  = 4                // customers are looked at, at each beat ...
 	sweepBeats  = 32               // ... and that part of all
 	slackPart   = 0.9              // of the ceiling's slack is used: the rest is for rounding
@@ -72,6 +72,7 @@
 
 // Attempts.
 const (
+	openKept   = 800 * time.Millisecond  // attempts that a peer told count so long: later word may be lost
 	ghostFor   = 1500 * time.Millisecond // work that nobody waits for counts as load no longer than this
 	waitPart   = 0.7                     // work that nobody waits for counts as load for so long
 	openLeast  = 8.0                     // attempts out a server, of all gateways, that press nobody: chance
@@ -194,13 +195,42 @@
 		c.askedTold = c.askedSum
 		g.tellSoon(c, 0, len(g.peers)) // what was sent on is told at once, what was only asked by the step
 	}
-	return c.room(r.units) && (c.plan.CeilingRate == 0 || // an even slice of the store, empty at a start
-		c.store+slackPart*c.plan.CeilingSlack/float64(c.spread) >= r.units)
+	return c.room(r.units) && g.roomOpen(c) &&
+		(c.plan.CeilingRate == 0 || // an even slice of the store, empty at a start
+			c.store+slackPart*c.plan.CeilingSlack/float64(c.spread) >= r.units)
 }
 
 func (c *customer) room(units float64) bool {
-	return (c.plan.Rate == 0 || c.level+c.part*units <= c.part*c.plan.Burst) &&
-		(c.plan.MaxOpen == 0 || float64(c.open) < math.Ceil(c.part*float64(c.plan.MaxOpen)))
+	return c.plan.Rate == 0 || c.level+c.part*units <= c.part*c.plan.Burst
+}
+
+// roomOpen holds the cap on attempts out. Caps are small: parts of them, rounded up, are one too many in
+// all or one too few where the traffic is. So what peers told counts, and the part decides without it.
+func (g *Gateway) roomOpen(c *customer) bool {
+	most := c.plan.MaxOpen
+	if most == 0 {
+		return true
+	}
+	if elsewhere, told := g.openElsewhere(c); told {
+		return c.open+elsewhere < most
+	}
+	return float64(c.open) < math.Ceil(c.part*float64(most))
+}
+
+// openElsewhere is what the other gateways of a customer's set have out for it; not told if one is silent.
+func (g *Gateway) openElsewhere(c *customer) (out int, told bool) {
+	for i := range g.peers {
+		if i == g.cfg.Rank || !g.inSet(c, i) {
+			continue
+		}
+		if p := &g.peers[i]; !p.known || g.now-p.heard >= peerStale {
+			return 0, false
+		}
+		if t := &c.told[i]; t.have && g.now-t.at < openKept {
+			out += t.open
+		}
+	}
+	return out, c.spread == 1 || len(g.peers) > 0
 }
 
 // roomIn is how long the quota needs to have room for so many units: what the client is told to wait.
@@ -325,7 +355,7 @@
 }
 
 func (g *Gateway) learn(from int, p *peer, s string) {
-	key, planNo, used, asked, level := parseEntry(s)
+	key, planNo, used, asked, open, level := parseEntry(s)
 	if planNo >= len(g.cfg.Plans) {
 		return
 	}
@@ -342,7 +372,7 @@
 	t.have, t.at = true, g.now
 	c.whole = max(0, c.whole+diff(t.used, used))
 	t.rate.add(g.now, max(0, diff(t.asked, asked)))
-	t.used, t.asked = used, asked
+	t.used, t.asked, t.open = used, asked, open
 }
 
 // ---- Homes. Where the intake is too small for telling everyone, a gateway's part of a mark is less than one
@@ -384,7 +414,7 @@
 	}
 	r.asking = false
 	g.leak(c)
-	g.decide(r, c.plan.CeilingRate == 0 && c.room(r.units))
+	g.decide(r, c.plan.CeilingRate == 0 && c.room(r.units) && g.roomOpen(c))
 }
 
 // unheard takes that a home gave no answer in time. A gateway that itself stood still waits a little more:
@@ -947,6 +977,9 @@
 	r.out--
 	a.server.out--
 	r.cust.open--
+	if r.cust.plan.MaxOpen > 0 {
+		g.tellSoon(r.cust, 0, len(g.peers))
+	}
 	g.judge(r, a, e)
 	if e.TrueUnits > 0 && g.cfg.SettledLater {
 		g.charge(r.cust, e.TrueUnits-r.units)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -149,11 +149,16 @@
 }
 
 func entry(key string, plan, used, asked, level int) string {
+	return entryOpen(key, plan, used, asked, 0, level)
+}
+
+func entryOpen(key string, plan, used, asked, open, level int) string {
 	var b strings.Builder
 	encode(&b, shortKey(key), 6)
 	encode(&b, uint64(plan), 1)
 	encode(&b, uint64(used), 2)
 	encode(&b, uint64(asked), 2)
+	encode(&b, uint64(open), 1)
 	encode(&b, uint64(level), 1)
 	return b.String()
 }
@@ -278,6 +283,77 @@
 	r.send("get", "open")
 }
 
+// TestOpenCapCountsPeers: a cap of 3 is used where the traffic is, and never by more gateways than have told.
+func TestOpenCapCountsPeers(t *testing.T) {
+	r, seq := newRig(t, nil), 0
+	tell := func(from, open int) {
+		seq++
+		r.do(PeerMessage{From: from, Text: message(1, seq, entryOpen("c", 3, 0, 0, open, 0))})
+	}
+	most := func() (n int) {
+		var sent []string
+		for range 5 {
+			if id, acts := r.ask("get", "open", "c", 1); len(find[Send](acts)) == 1 {
+				sent = append(sent, id)
+			}
+		}
+		for _, id := range sent {
+			r.end(id, 0, r.g.requests[id].attempts[0].server.ID, OK)
+		}
+		return len(sent)
+	}
+	for _, step := range []struct {
+		name   string
+		a, b   int // told by the peers; -1: nothing
+		passes time.Duration
+		want   int
+	}{
+		{"no peer was heard yet: a third, rounded up", -1, -1, 0, 1},
+		{"one peer was heard", 0, -1, 0, 1},
+		{"both have none out", 0, 0, 0, 3},
+		{"one has two out", 2, 0, 0, 1},
+		{"both have some out", 2, 1, 0, 0},
+		{"more than the cap by a race", 2, 2, 0, 0},
+		{"one ended", 2, 0, 0, 1},
+		{"word of the ends was lost", -1, -1, openKept, 3},
+		{"the peers fell silent", -1, -1, peerStale, 1},
+	} {
+		r.now += step.passes
+		if step.a >= 0 {
+			tell(1, step.a)
+		}
+		if step.b >= 0 {
+			tell(2, step.b)
+		}
+		if got := most(); got != step.want {
+			t.Errorf("%s: %d let out, want %d", step.name, got, step.want)
+		}
+	}
+}
+
+// TestOpenAttemptsAreTold: peers hear of an attempt under a cap, and that it ended.
+func TestOpenAttemptsAreTold(t *testing.T) {
+	r := newRig(t, nil)
+	told := func() int {
+		r.now += r.g.beatEvery()
+		for _, m := range find[Tell](r.do(TimerFired{Token: beatToken})) {
+			if m.To == 1 && len(m.Text) >= msgHead+msgEntry {
+				_, _, _, _, open, _ := parseEntry(m.Text[msgHead : msgHead+msgEntry])
+				return open
+			}
+		}
+		return -1
+	}
+	id, s := r.send("get", "open")
+	if got := told(); got != 1 {
+		t.Errorf("told of %d attempts out, want 1", got)
+	}
+	r.end(id, 0, s.Server, OK)
+	if got := told(); got != 0 {
+		t.Errorf("told of %d attempts out after the end, want 0", got)
+	}
+}
+
 func TestCeiling(t *testing.T) {
 	r := newRig(t, nil)
 	if _, acts := r.ask("get", "hard", "x", 8); len(find[Send](acts)) != 0 {
--- a/decide/state.go
+++ b/decide/state.go
@@ -77,6 +77,7 @@
 	have        bool
 	at          time.Duration
 	used, asked int
+	open        int // its attempts out
 	rate        rate
 }
 
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -119,7 +119,7 @@
 func TestGarbageFromPeers(t *testing.T) {
 	l := still(t, unreachable(t))
 	before := l.core
-	for _, s := range []string{"", "c", "c0000", "czzzz!", "c0000ABC", "c0000" + strings.Repeat("_", 12), strings.Repeat("\xff", 256)} {
+	for _, s := range []string{"", "e", "e0000", "ezzzz!", "e0000ABC", "e0000" + strings.Repeat("_", 13), strings.Repeat("\xff", 256)} {
 		datagram{1, s}.apply(l)
 		l.drainTodo()
 	}
