Share a silent gateway's part: its last word stands, and a stopping one says so

A probe of every refusal by second and gateway: from the first stop on, refusals by the customer's rate double (170 -> 340 a second, 240 -> 170 sent on) at the gateways that stay, while by their own count the whole bucket is at 0.3 of the burst. At fault: leak() took the even part, and stopped settling, as soon as one gateway of the customer's set was silent for 1 s: with 2 in a set, half of the quota was lost for each restart. Ruled out: shedding (under 20 a second then), cold servers, the start of the new process (it tells within a beat).

Change: a gateway that stops tells its peers, three times, as the last thing it does (event Leaving, message x); they leave it out until a new life is heard. Of one that is only silent the last word stands: if it died its traffic comes here and the part grows by it, if it is cut off both keep their parts. The even floor stays, and so does the even part while one was never heard.

Loss: where a cut lasts and demand shifts meanwhile, parts can add up to more than one, up to the quota of each side; ceilings go by fixed slices and hold.

--- a/decide/api.go
+++ b/decide/api.go
@@ -328,6 +328,8 @@
 		From int
 		Text string
 	}
+	// Leaving says that the gateway stops and owes nothing any more: the last event that it takes.
+	Leaving struct{}
 	// Counted is the answer to Count.
 	Counted struct {
 		Name    uint64
@@ -345,6 +347,7 @@
 func (TimerFired) event()    {}
 func (ProbeEnded) event()    {}
 func (PeerMessage) event()   {}
+func (Leaving) event()       {}
 func (Counted) event()       {}
 
 // Action is something that a gateway wants done.
--- a/decide/codec.go
+++ b/decide/codec.go
@@ -142,29 +142,31 @@
 
 // What peers tell all others: a head, and an entry for each customer of which something changed.
 const (
-	maxMessage = 256  // bytes of a message
-	msgVersion = "e"  // messages that begin otherwise are not understood and dropped
-	msgHead    = 5    // version; two digits each: epoch, number
-	msgEntry   = 13   // customer of six digits, plan, used of two, asked of two, attempts out, level
-	levelSteps = 30.0 // digits of a told level for a whole burst
+	maxMessage   = 256  // bytes of a message
+	msgVersion   = "e"  // messages that begin otherwise are not understood and dropped, but for
+	leaveVersion = "x"  // one that a gateway sends as it stops: a head alone
+	msgHead      = 5    // version; two digits each: epoch, number
+	msgEntry     = 13   // customer of six digits, plan, used of two, asked of two, attempts out, level
+	levelSteps   = 30.0 // digits of a told level for a whole burst
 )
 
-func encodeHead(b *strings.Builder, epoch, seq int) {
-	b.WriteString(msgVersion)
+func encodeHead(b *strings.Builder, version string, epoch, seq int) {
+	b.WriteString(version)
 	encode(b, uint64(epoch), 2)
 	encode(b, uint64(seq), 2)
 }
 
 // parseHead checks a whole message and reads its head.
-func parseHead(s string) (epoch, seq int, ok bool) {
-	if len(s) < msgHead || s[:1] != msgVersion || (len(s)-msgHead)%msgEntry != 0 {
-		return 0, 0, false
+func parseHead(s string) (epoch, seq int, leaves, ok bool) {
+	if len(s) < msgHead || (len(s)-msgHead)%msgEntry != 0 {
+		return 0, 0, false, false
 	}
-	if _, ok = decode(s[1:]); !ok {
-		return 0, 0, false
+	leaves = s[:1] == leaveVersion && len(s) == msgHead
+	if _, ok = decode(s[1:]); !ok || (s[:1] != msgVersion && !leaves) {
+		return 0, 0, false, false
 	}
 	head, _ := decode(s[1:msgHead])
-	return int(head >> 12), int(head & 4095), true
+	return int(head >> 12), int(head & 4095), leaves, true
 }
 
 func (c *customer) encode(b *strings.Builder) {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,6 +32,7 @@
 	intakePart = 0.8                    // of the stated intake is used by all peers together
 	askedStep  = 0.25                   // of the burst: asked units that are worth telling
 	quietBeat  = 400 * time.Millisecond // an idle peer still says that it lives
+	leaveTimes = 3                      // that it leaves is said so often, as messages may be lost
 )
 
 // Homes, where the intake is too small for telling everyone.
@@ -122,6 +123,8 @@
 		g.timer(e.Token)
 	case PeerMessage:
 		g.heard(e)
+	case Leaving:
+		g.leave()
 	}
 	return g.out
 }
@@ -161,24 +164,18 @@
 		c.part = min(1, max(even, own/max(own, c.asksAll)))
 		return
 	}
-	all := own
-	oldest := g.now
-	for i := range g.peers {
-		if i != g.cfg.Rank && g.inSet(c, i) {
-			all += c.told[i].rate.get(g.now) + partPrior*c.plan.Rate*even
-			if oldest = min(oldest, g.peers[i].heard); !g.peers[i].known {
-				oldest = g.now - peerStale
-			}
-		}
-	}
+	all, oldest := g.askedByAll(c, own)
 	c.part = even
-	if g.now-oldest >= peerStale || all == 0 || (len(g.peers) == 0 && c.spread > 1) {
+	if oldest < 0 || all == 0 || (len(g.peers) == 0 && c.spread > 1) {
 		if c.metered > 0 && g.now-c.meteredAt < meterStale {
 			c.part = max(even, min(1, c.factor*c.used.get(g.now)/c.metered))
 		}
 		return
 	}
 	c.part = max(even, own/all)
+	if g.now-oldest >= peerStale {
+		return // what the silent one lets in since is not known
+	}
 	if c.spread > 1 && oldest > c.settled {
 		if c.settled = oldest; all <= c.plan.Rate {
 			c.level = 0 // else all contend for what leaks: each takes its part alone
@@ -187,6 +184,30 @@
 	}
 }
 
+// askedByAll is what all gateways of a customer's set ask for it, this one so much, and since when all
+// have been heard: below 0 if one never was. The last word of a peer that fell silent stands: if it died,
+// its traffic comes here and the part grows by that; if it is cut off, both keep their parts as they were.
+// Without this, customers of a gateway that is down would have but the even parts of the others.
+func (g *Gateway) askedByAll(c *customer, own float64) (all float64, oldest time.Duration) {
+	all, oldest = own, g.now
+	for i := range g.peers {
+		p := &g.peers[i]
+		if i == g.cfg.Rank || !g.inSet(c, i) || p.left {
+			continue
+		}
+		if !p.known {
+			return all, -1
+		}
+		at := g.now
+		if g.now-p.heard >= peerStale {
+			at = p.heard
+		}
+		all += c.told[i].rate.get(at) + partPrior*c.plan.Rate/float64(c.spread)
+		oldest = min(oldest, p.heard)
+	}
+	return all, oldest
+}
+
 // admit decides whether the quota has room.
 func (g *Gateway) admit(c *customer, r *request) bool {
 	g.leak(c)
@@ -220,10 +241,11 @@
 // openElsewhere is what the other gateways of a customer's set have out for it; not told if one is silent.
 func (g *Gateway) openElsewhere(c *customer) (out int, told bool) {
 	for i := range g.peers {
-		if i == g.cfg.Rank || !g.inSet(c, i) {
+		p := &g.peers[i]
+		if i == g.cfg.Rank || !g.inSet(c, i) || p.left {
 			continue
 		}
-		if p := &g.peers[i]; !p.known || g.now-p.heard >= peerStale {
+		if !p.known || g.now-p.heard >= peerStale {
 			return 0, false
 		}
 		if t := &c.told[i]; t.have && g.now-t.at < openKept {
@@ -283,6 +305,22 @@
 	return time.Duration(float64(time.Second) / max(perS, 1))
 }
 
+// leave tells the peers that this gateway stops, so that they share its part at once.
+func (g *Gateway) leave() {
+	for i := range g.peers {
+		if i == g.cfg.Rank {
+			continue
+		}
+		p := &g.peers[i]
+		p.mySeq = (p.mySeq + 1) % 4096
+		var b strings.Builder
+		encodeHead(&b, leaveVersion, g.epoch, p.mySeq)
+		for range leaveTimes {
+			g.do(Tell{i, b.String()})
+		}
+	}
+}
+
 // tellSoon queues what is known of a customer for the gateways of those numbers that are in its set.
 func (g *Gateway) tellSoon(c *customer, from, to int) {
 	for i := from; i < to; i++ {
@@ -309,7 +347,7 @@
 
 func (g *Gateway) message(i int, p *peer) string {
 	var b strings.Builder
-	encodeHead(&b, g.epoch, p.mySeq)
+	encodeHead(&b, msgVersion, g.epoch, p.mySeq)
 	n := min(len(p.queue), (maxMessage-msgHead)/msgEntry)
 	for _, c := range p.queue[:n] {
 		c.queued[i] = false
@@ -324,7 +362,7 @@
 // heard takes a peer's message. Totals make lost and repeated messages harmless, the number makes late
 // ones so, the epoch a restart of the peer.
 func (g *Gateway) heard(e PeerMessage) {
-	epoch, seq, ok := parseHead(e.Text)
+	epoch, seq, leaves, ok := parseHead(e.Text)
 	other := e.From >= 0 && e.From < g.cfg.Gateways && e.From != g.cfg.Rank
 	if other && !g.mesh {
 		g.word(e.From, e.Text)
@@ -336,10 +374,13 @@
 	if p.known && p.epoch == epoch && diff(p.seq, seq) <= 0 {
 		return
 	}
+	if leaves && p.known && p.epoch != epoch {
+		return // a former life's word, late
+	}
 	if !p.known || p.epoch != epoch {
 		g.greet(e.From, p)
 	}
-	p.epoch, p.seq, p.known, p.heard = epoch, seq, true, g.now
+	p.epoch, p.seq, p.known, p.heard, p.left = epoch, seq, true, g.now, leaves
 	for s := e.Text[msgHead:]; s != ""; s = s[msgEntry:] {
 		g.learn(e.From, p, s[:msgEntry])
 	}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -135,6 +135,38 @@
 	}
 }
 
+// TestQuotaWhileGatewaysAreDown: two of three gateways are stopped, or die, and their traffic comes to the third. The
+// customer's quota is still its own; and while nothing died and all are cut off from each other, it is not passed.
+func TestQuotaWhileGatewaysAreDown(t *testing.T) {
+	const rate, units, secs = 3.0, 1.0, 20.0
+	gap := 167 * ms // twice the rate
+	for _, c := range []struct {
+		name        string
+		edit        func(j *joined)
+		at          func(n int) int
+		least, most float64 // of the rate
+	}{
+		{"stopped", func(j *joined) {
+			for i := 1; i < 3; i++ {
+				j.handle(i, Leaving{})
+				j.down[i] = true
+			}
+		}, func(int) int { return 0 }, 0.93, 1.1},
+		{"dead", func(j *joined) { j.down[1], j.down[2] = true, true }, func(int) int { return 0 }, 0.5, 1.1},
+		{"cut off", func(j *joined) { j.loss = 1 }, func(n int) int { return n % 3 }, 0.9, 1.1},
+	} {
+		j := join(t, 3, nil)
+		j.run(6*time.Second, gap, "small", units, func(n int) int { return n % 3 })
+		c.edit(j)
+		j.run(2*time.Second, gap, "small", units, c.at) // until it is noticed
+		before := j.used
+		j.run(secs*time.Second, gap, "small", units, c.at)
+		if got := (j.used - before) / (rate * secs); got < c.least || got > c.most {
+			t.Errorf("%s: %.2f of the quota was let in, want %.2f to %.2f", c.name, got, c.least, c.most)
+		}
+	}
+}
+
 // TestMessagesStayWithinIntake: one customer that asks for many times its quota at all of 300 gateways.
 func TestMessagesStayWithinIntake(t *testing.T) {
 	j := join(t, 300, nil)
--- a/decide/state.go
+++ b/decide/state.go
@@ -14,6 +14,7 @@
 	heard, sent       time.Duration
 	epoch, seq, mySeq int
 	known             bool // heard since this gateway started
+	left              bool // it told that it stops, and has not come back
 	younger           bool // it started after this gateway, so all of its totals are news
 	queue             []*customer
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -216,6 +216,8 @@
 		l.ring()
 		l.settle()
 	}
+	l.feed(decide.Leaving{})
+	l.drainTodo()
 }
 
 // settle does what waits for the end of a turn, such as writing all answers of a connection at once.
