Leave unreachable servers alone for longer and longer; repeats nobody heard are free

Ruled out: quota and shedding (p50 stayed at 65 ms).

Change: a server that no connection reaches is left alone for 0.25 s, doubling to 4 s, by all classes, and one request at a time finds out whether it is back; an answer or a new start ends that, and where every server is down none is left alone. A repeat after 'no connection' takes nothing from the module's budget, which is there to keep repeats from feeding a jam: no server heard of it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -68,6 +68,8 @@
 	missGain   = 0.25            // gain of a server's share of a class's requests that it leaves or fails
 	newsOf     = 3               // sights that a word carries: twice as many made the flow react to chance
 	missNear   = 0.2             // over the least such share: as good as the best
+	downFirst  = 0.25            // seconds that a server is left alone which no connection reached ...
+	downMost   = 4.0             // ... twice as long with each further one, up to this
 	lookAt     = 16              // servers, from a random one on, are looked at for a request
 )
 
@@ -607,7 +609,7 @@
 	s := g.server(e.ID)
 	if e.Started > s.Started && e.Started+g.cfg.Safety.ColdFor > g.now {
 		s.coldUntil, s.budget, s.budgetAt = e.Started+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
-		s.slow = 1
+		s.slow, s.down, s.downTill = 1, 0, 0
 		clear(s.miss)
 	}
 	s.Server = e
@@ -742,7 +744,7 @@
 	best, n, least, cost := (*server)(nil), 0, 1.0, 0.0
 	for i, from := 0, g.rng.Intn(max(1, len(g.order))); i < len(g.order) && n < lookAt; i++ {
 		s := g.order[(from+i)%len(g.order)]
-		if !g.usable(s, r) {
+		if !g.usable(s, r) || (s.downTill > g.now && !g.allDown()) {
 			continue
 		}
 		found[n] = s
@@ -776,6 +778,31 @@
 	return best, g.estimate(best, r)
 }
 
+// allDown reports whether every server is left alone: then this gateway is likelier to be at fault than they,
+// and none is.
+func (g *Gateway) allDown() bool {
+	up := func(s *server) bool { return s.State == Serving && s.downTill <= g.now }
+	return !slices.ContainsFunc(g.order, up)
+}
+
+// reached takes whether an attempt reached its server. One that no connection reaches is down for all
+// classes; it is left alone for longer and longer, and then one request at a time finds out. An attempt that
+// began before the last failure, or before a later answer, tells nothing new.
+func (g *Gateway) reached(s *server, a *attempt, o Outcome) {
+	switch {
+	case o == OK || o == Error || o == Full:
+		s.down, s.downTill = 0, 0
+	case o == NoConnection && a.at >= s.downAt && a.at > s.lastGood:
+		s.down, s.downAt = s.down+1, g.now
+		g.leaveAlone(s)
+	}
+}
+
+func (g *Gateway) leaveAlone(s *server) {
+	wait := min(downMost, downFirst*math.Exp2(float64(s.down-1))) * (0.75 + 0.5*g.rng.Float64())
+	s.downTill = g.now + seconds(wait)
+}
+
 // thin is 1 where this gateway sees fewer answers in its memory than there are servers, and less where more.
 func (g *Gateway) thin() float64 {
 	return min(1, g.all.serving/max(g.done.get(g.now)*partMemory.Seconds(), 1))
@@ -883,6 +910,9 @@
 	r.out++
 	r.cust.open++
 	s.outAvg += 0.05 * (g.load(s) - s.outAvg)
+	if s.down > 0 {
+		g.leaveAlone(s) // until it is known how this one fares
+	}
 	if s.coldUntil > g.now {
 		s.budget -= a.work
 	}
@@ -929,7 +959,7 @@
 		}
 		return
 	}
-	g.again(r, s)
+	g.again(r, s, false)
 }
 
 // copy sends a second copy within a request's bounds. Copies are the first to stop where the servers are
@@ -939,14 +969,15 @@
 	if r.finished || r.streaming || r.class.Effect == Unsafe || r.waiting != nil || r.out != 1 {
 		return
 	}
-	if r.until-g.now >= b.CopyLeast && g.pressed() <= copyFrom && g.again(r, a.server) {
+	if r.until-g.now >= b.CopyLeast && g.pressed() <= copyFrom && g.again(r, a.server, false) {
 		g.saw(a.server, r, g.now-a.at, true, true) // else a slow one would hide behind its copies
 	}
 }
 
 // again sends a further attempt if the rules, the budget and the time left allow one, at once or after the
 // wait that the request's bounds ask for. What waits has its place in the budget, so it waits for an attempt.
-func (g *Gateway) again(r *request, last *server) bool {
+// The module's own budget keeps repeats from feeding a jam: one that no server heard of is not in it.
+func (g *Gateway) again(r *request, last *server, unheard bool) bool {
 	b, most, wait := r.Bounds, g.cfg.Limits.MaxAttempts, time.Duration(0)
 	if b != nil {
 		if b.Attempts > 0 {
@@ -956,7 +987,7 @@
 			wait = g.waitFor(r)
 		}
 	}
-	own := b == nil || b.Budget == nil
+	own := (b == nil || b.Budget == nil) && !unheard
 	if (own && g.budget < 1) || len(r.attempts) >= most || (r.out > 0 && !g.cfg.Limits.Parallel) {
 		return false
 	}
@@ -966,7 +997,7 @@
 	}
 	if own {
 		g.budget--
-	} else if !b.Budget.Take(g.now, &s.Server) {
+	} else if b != nil && b.Budget != nil && !b.Budget.Take(g.now, &s.Server) {
 		return false
 	}
 	if wait > 0 {
@@ -1043,7 +1074,7 @@
 		r.more = -r.units
 	}
 	worth := e.Outcome != Moot && (r.Bounds == nil || r.Bounds.Again.Has(e.Outcome))
-	if r.out > 0 || r.waiting != nil || (worth && g.again(r, a.server)) {
+	if r.out > 0 || r.waiting != nil || (worth && g.again(r, a.server, e.Outcome == NoConnection)) {
 		return
 	}
 	g.giveUp(r)
@@ -1052,6 +1083,7 @@
 // judge takes what an outcome says of its server.
 func (g *Gateway) judge(r *request, a *attempt, e AttemptEnded) {
 	s := a.server
+	g.reached(s, a, e.Outcome)
 	if e.Outcome == TimedOut || e.Outcome == Cancelled {
 		s.ghosts = append(s.ghosts, ghost{a.at, a.work})
 	} else {
--- a/decide/state.go
+++ b/decide/state.go
@@ -130,7 +130,9 @@
 	short              uint64 // its name in messages
 	sends              rate
 	lastGood, budgetAt time.Duration
-	budget             float64 // cold budget, in requests
+	budget             float64       // cold budget, in requests
+	down               int           // attempts in a row that no connection was made for
+	downAt, downTill   time.Duration // when the last one failed; the server is left alone until then
 	coldUntil          time.Duration
 }
 
