--- a/decide/decide.go
+++ b/decide/decide.go
@@ -85,8 +85,7 @@
 	budgetPart = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost = 10.0 // ... up to this many
 	openPart   = 0.2  // of the shortest aim: if a usual request takes that, openLeast is as it stands ...
-	openMost   = 4.0  // ... so many times as much at most, where it takes less ...
-	openSlow   = 0.5  // ... and no less than this, where it takes longer
+	openMost   = 4.0  // ... and so many times as much at most, where it takes less
 	openFree   = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
 	shedFrom   = 0.25 // of the cap on open work, where the least worth work is shed
 	flowShrink = 0.85 // of the flow let in on thin evidence, for each answer missed here or as told ...
@@ -884,7 +883,7 @@
 	n := g.all.serving
 	seen := 1 - math.Exp(-max(g.now-g.started, time.Second/4).Seconds()/partMemory.Seconds())
 	mine := g.done.get(g.now) / seen * waitPart * g.quickest
-	least := openLeast * min(openMost, max(openSlow, openPart*g.quickest/max(g.usual, 1e-6)))
+	least := openLeast * min(openMost, max(1, openPart*g.quickest/max(g.usual, 1e-6)))
 	return max(0, g.all.open-openFree*g.thin()) / max(mine, least*n/float64(g.cfg.Gateways))
 }
 
