Let cold servers warm up sooner: more of the budget, never over twice what they can do

At fault: coldRate used half of the rule's budget, which with a multiple of 2 is once the least that a cold server can do; those servers warm up by the work they get. Ruled out: shedding alone (the warm ones answered within 0.4 s) and the list (new servers were told within 2 s).

Change: 0.8 of the budget, and never over twice what the server can do, which is what the first deployment with its multiple of 4 had and keeps.

Test: budgets go by work, and the bound by the multiple.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -61,7 +61,8 @@
 	firstGuess = 0.2             // of the aim: the usual time before any answer
 	slowMemory = 2 * time.Second // slowness fades at least so slowly: the unused get another look
 	crossZone  = 1.15            // factor on the estimate of a server in another zone
-	coldMargin = 0.5             // of the cold budget is used: costs vary and others' traffic is guessed
+	coldMargin = 0.8             // of the cold budget is used: costs vary, others' traffic is guessed ...
+	coldMost   = 2.0             // ... and at most so many times what it can do: more is answered late
 	memoryOf   = 4.0             // answers of a server are how long its slowness is known ...
 	memoryMost = 20.0            // ... in seconds, this at most
 	missFades  = 2.0             // times that: known of a class's failures
@@ -701,7 +702,7 @@
 	warm := g.all.sends / max(g.all.warm, 1)
 	f := g.cfg.Safety.ColdFrom
 	age := 1 - (s.coldUntil-g.now).Seconds()/g.cfg.Safety.ColdFor.Seconds()
-	return coldMargin * g.cfg.Safety.FallMultiple * (f + (1-f)*age) * warm
+	return min(coldMost, coldMargin*g.cfg.Safety.FallMultiple) * (f + (1-f)*age) * warm
 }
 
 func (g *Gateway) survey() {
--- a/decide/work_test.go
+++ b/decide/work_test.go
@@ -117,3 +117,34 @@
 		}
 	}
 }
+
+// TestColdBudgetIsInWork: a large request takes as much of a cold server's budget as the small ones that it is worth, and
+// what it may be sent is bounded by the rule's multiple and by what it can do, whichever is less.
+func TestColdBudgetIsInWork(t *testing.T) {
+	rate := func(multiple float64) (float64, *rig, *server) {
+		r := newRig(t, func(c *Config) { c.Safety.FallMultiple = multiple })
+		for n := range 400 {
+			units := float64(1 + 7*(n%2))
+			id, acts := r.ask("get", "wide", "c", units)
+			took := time.Duration(20*units) * ms
+			r.now += took
+			r.do(AttemptEnded{ID: id, Server: find[Send](acts)[0].Server, Outcome: OK, Took: took, Done: true})
+		}
+		r.do(FleetUpdate{Kind: FleetDelta, Servers: []Server{{ID: "new", Zone: "a", Started: r.now}}})
+		s := r.g.servers["new"]
+		return r.g.coldRate(s), r, s
+	}
+	two, r, s := rate(2)
+	four, _, _ := rate(4)
+	if got, want := four/two, coldMost/(2*coldMargin); math.Abs(got-want) > 1e-6 {
+		t.Errorf("twice the multiple lets %.3f times as much through, want %.3f", got, want)
+	}
+	spend := func(units float64) float64 {
+		s.budget, s.budgetAt = 1, r.now
+		r.g.send(&request{Request: Request{ID: "x"}, class: r.g.classes["get"], cust: r.g.customer(1, 0), units: units, until: r.now + time.Second}, s)
+		return 1 - s.budget
+	}
+	if large, small := spend(8), spend(1); large < 6*small {
+		t.Errorf("a request of 8 units takes %.2f of the cold budget, one of 1 unit %.2f", large, small)
+	}
+}
