Settle buckets by the true units that nodes tell, by RESP2 and HTTP/2 alike

Need: where a request's units are a guess, nodes tell the true ones, and the module settles by them; the gateway threw the figures away, and HTTP/2 had no word for them.

Change: figures on use ('used=86,units=3') are read from RESP2's second value and from sloepick-use of a node's answer by HTTP/2, by one strict reader: units over UnitsTop, names that come twice and what is no plain number tell nothing and do the value no harm. Load reports stay unread, as nothing is decided by them. The room told in the very answer that settles is still that of the guess.

--- a/internal/gateway/back.go
+++ b/internal/gateway/back.go
@@ -121,10 +121,10 @@
 // Whole tells that the last byte may have been handed over.
 func (t *Try) Whole() { t.a.whole = true }
 
-// Served ends it with a node's value.
-func (t *Try) Served(value []byte) {
+// Served ends it with a node's value, and with what the node told of its use, as "used=86,units=3"; nil: nothing.
+func (t *Try) Served(value, figures []byte) {
 	if !t.a.over {
-		t.l.served(t.a, value)
+		t.l.served(t.a, value, figures)
 	}
 }
 
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -466,7 +466,9 @@
 }
 
 // ended tells the module how an attempt ended.
-func (l *loop) ended(a *attempt, o decide.Outcome) {
+func (l *loop) ended(a *attempt, o decide.Outcome) { l.endedWith(a, o, use{}) }
+
+func (l *loop) endedWith(a *attempt, o decide.Outcome, u use) {
 	if a.over {
 		return
 	}
@@ -474,7 +476,8 @@
 	l.unset(a.expiry)
 	r := a.req
 	r.out--
-	ev := decide.AttemptEnded{ID: r.id, Attempt: a.n, Outcome: o, Took: l.clock.now() - a.at, Done: r.done}
+	ev := decide.AttemptEnded{ID: r.id, Attempt: a.n, Outcome: o, Took: l.clock.now() - a.at, Done: r.done,
+		Metered: u.metered, TrueUnits: u.units}
 	if a.server != nil {
 		ev.Server = a.server.id
 	}
@@ -482,14 +485,15 @@
 	l.drop(r)
 }
 
-// served passes a value on and ends its attempt.
-func (l *loop) served(a *attempt, value []byte) {
+// served passes a value on and ends its attempt. The first good answer of a request settles its units: those of others are
+// called off by then.
+func (l *loop) served(a *attempt, value, figures []byte) {
 	if r := a.req; r.routes != nil {
 		now := l.clock.now()
 		r.routes.Answered(r.route, r.cmd.req.Class, now-a.at, now)
 	}
 	l.answer(a.req, ending{kind: endServed, value: value})
-	l.ended(a, decide.OK)
+	l.endedWith(a, decide.OK, l.cfg.readUse(figures))
 }
 
 // fleet takes a list of servers.
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -167,7 +167,7 @@
 	a := r.attempts[0]
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
-	answered{a.conn, answer{decide.OK, []byte("v"), true}}.apply(l)
+	answered{a.conn, answer{outcome: decide.OK, value: []byte("v"), inStep: true}}.apply(l)
 	if len(a.server.idle) != 1 {
 		t.Fatalf("%d connections are idle, want 1", len(a.server.idle))
 	}
@@ -190,8 +190,8 @@
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
 	c := a.conn
-	answered{c, answer{decide.OK, []byte("v"), true}}.apply(l)
-	answered{c, answer{decide.OK, []byte("w"), true}}.apply(l)
+	answered{c, answer{outcome: decide.OK, value: []byte("v"), inStep: true}}.apply(l)
+	answered{c, answer{outcome: decide.OK, value: []byte("w"), inStep: true}}.apply(l)
 	text(t, far)
 	if len(a.server.idle) != 0 {
 		t.Error("the connection is kept")
@@ -205,7 +205,7 @@
 	a := r.attempts[0]
 	near, far := pair(t)
 	dialed{a, a.server.addr, near, nil}.apply(l)
-	answered{a.conn, answer{decide.OK, []byte("v"), false}}.apply(l)
+	answered{a.conn, answer{outcome: decide.OK, value: []byte("v"), inStep: false}}.apply(l)
 	text(t, far)
 	if len(a.server.idle) != 0 || l.pool.conns != 0 {
 		t.Error("the connection is kept")
--- a/internal/gateway/resp.go
+++ b/internal/gateway/resp.go
@@ -83,6 +83,7 @@
 type answer struct {
 	outcome decide.Outcome
 	value   []byte // shares memory with what was read
+	figures []byte // on use, likewise
 	inStep  bool   // the whole of it was read, so the next answer can be told from it
 }
 
@@ -126,9 +127,9 @@
 		return a, 0, err
 	}
 	at := from + n
-	a = answer{decide.OK, value, true}
-	for range 2 { // figures on use, load report
-		_, n, err := bulk(b[at:], -1, fieldMost)
+	a = answer{outcome: decide.OK, value: value, inStep: true}
+	for i := range 2 { // figures on use, and the load report, by which nothing is decided
+		got, n, err := bulk(b[at:], -1, fieldMost)
 		if err != nil {
 			a.inStep = false
 			return a, len(b), nil
@@ -136,6 +137,9 @@
 		if n == 0 {
 			return a, 0, nil
 		}
+		if i == 0 {
+			a.figures = got
+		}
 		at += n
 	}
 	return a, at, nil
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -441,7 +441,7 @@
 		l.pool.park(c)
 	}
 	if e.outcome == decide.OK {
-		l.served(a, e.value)
+		l.served(a, e.value, e.figures)
 		return
 	}
 	l.ended(a, e.outcome)
@@ -505,7 +505,8 @@
 		case fault != nil, errors.Is(err, os.ErrDeadlineExceeded):
 			return a, errSpoilt
 		case used > 0:
-			a.value, a.inStep = bytes.Clone(a.value), a.inStep && used == len(b) && err == nil
+			a.value, a.figures = bytes.Clone(a.value), bytes.Clone(a.figures)
+			a.inStep = a.inStep && used == len(b) && err == nil
 			if begun {
 				err = c.conn.SetReadDeadline(time.Time{})
 			}
--- /dev/null
+++ b/internal/gateway/use.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// use is what a node tells of a request beside its value. The zero value tells nothing.
+type use struct {
+	metered int     // 1 + the customer's use by all gateways, in percent of its rate, over a period that is past; 0: not told
+	units   float64 // that the request really took; 0: not told
+}
+
+const usedMost = 1 << 20 // of a metered use: ten thousand times the rate, beyond all that happens
+
+// readUse reads figures on use as both protocols carry them, such as "used=86,units=3": each name once, names that are not
+// known left unread. Figures that can't be read tell nothing and do the value no harm: a node must not bend a bucket by them,
+// so units are held to the most that a request may count for. What the settings do not provide for is not read at all.
+func (c *Config) readUse(figures []byte) (u use) {
+	set := &c.Settings.Decide
+	if len(figures) == 0 || !set.SettledLater && set.MeterPeriod == 0 {
+		return use{}
+	}
+	units := set.MaxUnits
+	if units == 0 {
+		units = unitsMost
+	}
+	for more := true; more; {
+		var pair []byte
+		pair, figures, more = bytes.Cut(figures, []byte(","))
+		name, value, ok := bytes.Cut(pair, []byte("="))
+		switch {
+		case !ok:
+			return use{}
+		case string(name) == "used":
+			n, err := strconv.ParseUint(string(value), 10, 32)
+			if err != nil || n == 0 || n > usedMost || u.metered > 0 {
+				return use{}
+			}
+			u.metered = int(n)
+		case string(name) == "units":
+			v, err := number(string(value))
+			if err != nil || v <= 0 || v > units || u.units > 0 {
+				return use{}
+			}
+			u.units = v
+		}
+	}
+	if !set.SettledLater {
+		u.units = 0
+	}
+	if set.MeterPeriod == 0 {
+		u.metered = 0
+	}
+	return u
+}
--- /dev/null
+++ b/internal/gateway/use_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestFiguresAreReadStrictly: what a node tells settles buckets, so what can't be meant must tell nothing.
+func TestFiguresAreReadStrictly(t *testing.T) {
+	cfg := testConfig(t, long, nil) // units of 8 at the most
+	cfg.Settings.Decide.SettledLater, cfg.Settings.Decide.MeterPeriod = true, time.Second
+	for figures, want := range map[string]use{
+		"used=86,units=3":        {86, 3},
+		"units=0.5":              {0, 0.5},
+		"units=8":                {0, 8},
+		"used=1":                 {1, 0},
+		"later=x,units=3":        {0, 3},
+		"":                       {},
+		"units":                  {},
+		"units=3,":               {},
+		"units=":                 {},
+		"units=0":                {},
+		"units=-3":               {},
+		"units=8.5":              {},
+		"units=99999999999":      {},
+		"units=1e0":              {},
+		"units=NaN":              {},
+		"units=inf":              {},
+		"units=3,units=3":        {},
+		"used=0":                 {},
+		"used=-1":                {},
+		"used=86.5":              {},
+		"used=4294967296":        {},
+		"used=1048577":           {},
+		"used=86,used=86":        {},
+		"units=3 ,used=86":       {},
+		strings.Repeat(",", 100): {},
+	} {
+		if got := cfg.readUse([]byte(figures)); got != want {
+			t.Errorf("%q: got %+v, want %+v", figures, got, want)
+		}
+	}
+	cfg.Settings.Decide.SettledLater = false
+	if got := cfg.readUse([]byte("used=86,units=3")); got != (use{86, 0}) {
+		t.Errorf("where units are told up front: got %+v", got)
+	}
+	cfg.Settings.Decide.MeterPeriod = 0
+	if got := cfg.readUse([]byte("used=86,units=3")); got != (use{}) {
+		t.Errorf("where nothing is settled or metered: got %+v", got)
+	}
+}
+
+// FuzzFigures: whatever a node tells, a bucket is never moved by more than the largest request.
+func FuzzFigures(f *testing.F) {
+	f.Add([]byte("used=86,units=3"))
+	f.Add([]byte("units=1.5,used=,x=y"))
+	var cfg Config
+	cfg.Settings.Decide.SettledLater, cfg.Settings.Decide.MeterPeriod, cfg.Settings.Decide.MaxUnits = true, time.Second, 8
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if u := cfg.readUse(b); u.units < 0 || u.units > 8 || u.units != u.units || u.metered < 0 || u.metered > usedMost {
+			t.Errorf("%q: %+v", b, u)
+		}
+	})
+}
--- a/internal/h2/back.go
+++ b/internal/h2/back.go
@@ -315,7 +315,7 @@
 	never := slices.ContainsFunc(a.Fields, func(f hpack.HeaderField) bool { return f.Name == fieldRan && f.Value == ranNever })
 	switch {
 	case a.Status == statusOK:
-		t.Served(a.Body)
+		t.Served(a.Body, figures(a))
 	case never:
 		t.Ended(gateway.TurnedAway)
 	default:
@@ -323,6 +323,16 @@
 	}
 }
 
+// figures are what a node told of a request's use.
+func figures(a *wire.Answer) []byte {
+	for _, f := range a.Fields {
+		if f.Name == fieldUse {
+			return []byte(f.Value)
+		}
+	}
+	return nil
+}
+
 // forget takes a try off its stream.
 func (c *nodeConn) forget(stream uint32) *gateway.Try {
 	t := c.tries[stream]
--- a/internal/h2/back_test.go
+++ b/internal/h2/back_test.go
@@ -319,3 +319,37 @@
 		t.Error("the attempt at the old address was not given up")
 	}
 }
+
+// TestTrueUnitsSettle: a request's units are a guess, and the node's answer tells four times as many. Whatever protocol the
+// client and the node speak, the same bucket is settled, once a request, and figures that can't be meant settle nothing.
+func TestTrueUnitsSettle(t *testing.T) {
+	// A burst of 36 counts as half used at the start and does not refill: there is room for 18 guesses of 1, or for 5 of
+	// which each takes 4 once it is answered (the fifth finds 34 of 36 used).
+	const guesses, settled = 18, 5
+	for figures, want := range map[string]int{"used=200,units=4": settled, "": guesses, "units=x": guesses, "units=9": guesses, "units=4,units=4": guesses} {
+		for name, h2 := range map[string]struct {
+			nodes  int
+			client bool
+		}{"RESP2 to RESP2": {0, false}, "RESP2 to HTTP/2": {1, false}, "HTTP/2 to RESP2": {0, true}, "HTTP/2 to HTTP/2": {1, true}} {
+			if want == guesses && (h2.nodes == 1) != h2.client {
+				continue // each side's reading of figures is played once
+			}
+			p := platform()
+			p.H2Nodes, p.SettledLater, p.Most = h2.nodes, true, 8
+			r := newRigOf(t, p, 1, func(cfg *gateway.Config, _ *Listener) {
+				cfg.Backs = map[string]gateway.Back{stand.H2Kind: NewBack(BackConfig{Streams: 100, Connections: 2, Ping: patience, Idle: patience})}
+			})
+			r.site.Nodes[0].Use(func(stand.Arrival) string { return figures })
+			c, served := &caller{r: r}, 0
+			c.dial()
+			for n := range guesses + 4 {
+				if c.call(look(fmt.Sprint("q", n)), h2.client) == 200 {
+					served++
+				}
+			}
+			if served != want {
+				t.Errorf("%s, %q: %d were let in, want %d", name, figures, served, want)
+			}
+		}
+	}
+}
--- a/internal/h2/mapping.go
+++ b/internal/h2/mapping.go
@@ -32,6 +32,7 @@
 	fieldRan       = "sloepick-ran"   // of an answer: what is promised of a request that was not served
 	fieldAfter     = "sloepick-after" // ms after which to come again
 	fieldCost      = "sloepick-cost"  // units that the request takes from the quota
+	fieldUse       = "sloepick-use"   // of a node's answer: figures on use, "used=86,units=3"
 	ranNever       = "never"
 	ranUnknown     = "unknown"
 	fieldLimit     = "ratelimit" // draft-ietf-httpapi-ratelimit-headers-10
--- a/internal/stand/h2node.go
+++ b/internal/stand/h2node.go
@@ -184,6 +184,10 @@
 	case turnedAway:
 		c.Answer(s.ID, 503, "", "sloepick-ran", "never")
 	case done:
+		if use := c.n.used(s.Arrival); use != "" {
+			c.Answer(s.ID, 200, Value(s.Arrival.ID), "sloepick-use", use)
+			return
+		}
 		c.Answer(s.ID, 200, Value(s.Arrival.ID))
 	default:
 		c.Answer(s.ID, 400, "")
--- a/internal/stand/node.go
+++ b/internal/stand/node.go
@@ -97,6 +97,7 @@
 	counts   Counts
 	stall    func(Arrival) time.Duration
 	rude     func(*H2Stream) bool
+	use      func(Arrival) string
 }
 
 // Counts are a node's own figures.
@@ -148,6 +149,23 @@
 	n.quick = true
 }
 
+// Use lets it tell figures on use with each value; "": none. It is called from many goroutines.
+func (n *Node) Use(figures func(Arrival) string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.use = figures
+}
+
+func (n *Node) used(a Arrival) string {
+	n.mu.Lock()
+	use := n.use
+	n.mu.Unlock()
+	if use == nil {
+		return ""
+	}
+	return use(a)
+}
+
 // Drain lets it turn away what is new.
 func (n *Node) Drain() {
 	n.mu.Lock()
@@ -228,7 +246,7 @@
 	case turnedAway:
 		return "-BUSY\r\n"
 	case done:
-		return Served(Value(a.ID))
+		return ServedUse(Value(a.ID), n.used(a))
 	}
 	return ""
 }
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 )
@@ -28,6 +29,9 @@
 	Sockets int
 	Memory  int // MB
 	H2Nodes int // so many of the nodes speak HTTP/2 and are of H2Kind
+	// SettledLater: a request's units are a guess, and nodes tell the true ones, Most at most.
+	SettledLater bool
+	Most         float64 // units that a request counts for at most; 0: as many as the classes' largest
 }
 
 // H2Kind is the kind of nodes that speak HTTP/2, as discovery tells it.
@@ -36,22 +40,34 @@
 // Place is where one gateway of a platform listens.
 type Place struct{ Listen, Peer string }
 
+// Ports of places lie under those that systems hand out to outgoing connections (from 32768 on Linux, from 49152 by RFC 6335,
+// 6), so that none of these takes one between its being found and the gateway's start.
+const (
+	portFrom  = 20000
+	portMost  = 32767
+	portTries = 1000
+)
+
 // Places finds free loopback ports for so many gateways. They are free as they are looked up; a start that finds one
 // taken says so.
 func Places(n int) ([]Place, error) {
 	var all []Place
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(all) < n; tries++ {
+		if tries == portTries {
+			return nil, fmt.Errorf("looking for ports: %d of %d were found in %d tries", len(all), n, tries)
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", portFrom+rand.IntN(portMost-portFrom+1))
+		ln, err := net.Listen("tcp", addr)
 		if err != nil {
-			return nil, fmt.Errorf("looking for a port: %w", err)
+			continue // taken
 		}
 		defer ln.Close()
-		udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+		udp, err := net.ListenPacket("udp", addr)
 		if err != nil {
-			return nil, fmt.Errorf("looking for a port: %w", err)
+			continue
 		}
 		defer udp.Close()
-		all = append(all, Place{ln.Addr().String(), udp.LocalAddr().String()})
+		all = append(all, Place{addr, addr})
 	}
 	return all, nil
 }
@@ -87,7 +103,7 @@
 	}
 	return map[string]any{
 		"Instances": gateways, "Rank": rank, "Zone": p.Zone, "Classes": classes, "TiersOfService": plans,
-		"Extra": map[string]any{"PeerIntake": 40, "UnitsTop": units},
+		"Extra": map[string]any{"PeerIntake": 40, "UnitsTop": max(units, p.Most), "CostAfter": p.SettledLater},
 		"Limits": map[string]any{"SendCap": 5, "MayCancel": true, "ParallelTries": true, "Peers": true, "RetryAfter": true,
 			"MaxRetryAfterNs": time.Second, "ConnectTimeoutNs": 250 * time.Millisecond, "ConnIdleNs": 15 * time.Second, "OpenCap": 20000},
 		"Safety": map[string]any{"AnswerSlackNs": 50 * time.Millisecond, "DrainGraceNs": p.Rules.DrainGrace - socketSlack, "ColdFrom": p.Rules.ColdFrom,
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -112,8 +112,15 @@
 }
 
 // Served is a node's answer to a request that it served, without figures on use and load report.
-func Served(value string) string {
-	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
+func Served(value string) string { return ServedUse(value, "") }
+
+// ServedUse is one with figures on use; "": none.
+func ServedUse(value, figures string) string {
+	use := "$-1\r\n"
+	if figures != "" {
+		use = fmt.Sprintf("$%d\r\n%s\r\n", len(figures), figures)
+	}
+	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n%s$-1\r\n", len(value), value, use)
 }
 
 const callsKept = 64 // queries that Discovery keeps for whoever reads them
@@ -147,6 +154,7 @@
 	body    []byte
 	changed chan struct{}
 	closed  chan struct{} // ends the watches that wait
+	once    sync.Once
 }
 
 // NewDiscovery starts discovery with a list, such as a List, whose version is told beside it.
@@ -165,11 +173,13 @@
 	return netip.MustParseAddrPort(strings.TrimPrefix(d.web.URL, "http://"))
 }
 
-// Close ends it and the watches that wait, also those that come while it closes.
+// Close ends it and the watches that wait, also those that come while it closes. Closing it again does nothing.
 func (d *Discovery) Close() {
-	close(d.closed)
-	d.web.CloseClientConnections()
-	d.web.Close()
+	d.once.Do(func() {
+		close(d.closed)
+		d.web.CloseClientConnections()
+		d.web.Close()
+	})
 }
 
 // Set gives it a new list, which all watches that are behind its version are told.
