--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"sloepick/internal/gateway"
 	"sloepick/internal/h2"
 	"sloepick/internal/operator"
+	"sloepick/internal/resp"
 	"sloepick/internal/route"
 	"sloepick/internal/sloe"
 	"sloepick/internal/tuning"
@@ -59,6 +60,7 @@
 	}
 	var level slog.LevelVar
 	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: &level})).With("gateway", cfg.Name)
+	cfg.Fronts, cfg.Back = []gateway.Front{resp.NewFront(cfg.Listen)}, resp.Back{}
 	r := reloader{file: file, cfg: &cfg, getenv: getenv, log: log, level: &level, reloads: make(chan gateway.Reload)}
 	if file != "" {
 		var warnings sloe.Diags
--- a/internal/gateway/back.go
+++ b/internal/gateway/back.go
@@ -6,7 +6,7 @@
 	"sloepick/decide"
 )
 
-// Back reaches nodes by a protocol of its own, beside RESP2's. Which nodes, discovery's kind tells (Config.Backs).
+// Back reaches nodes by a protocol of its own. Which nodes, discovery's kind tells (Config.Backs).
 type Back interface {
 	// Node is asked for a node at an address, by the loop.
 	Node(d *Door, p *Place) Carrier
@@ -16,7 +16,11 @@
 type Carrier interface {
 	Start(t *Try)  // it must tell how the try ended, once, unless GiveUp comes first
 	GiveUp(t *Try) // nothing of it is waited for any more, and nothing of it may be written from now on
-	Retire()       // the connections that are there take nothing new, and close once nothing is open on them
+	Retire()       // the connections that are there or being made take nothing new, and close once nothing is open on them
+
+	// Idle is since when the connection has stood that has stood idle for longest; false: none is idle.
+	Idle() (since time.Duration, any bool)
+	Evict() // closes that connection
 }
 
 // Fate is what became of an attempt that was not served, in no protocol's words.
@@ -74,30 +78,29 @@
 // Give counts a connection off.
 func (n *Place) Give() { n.p.dropped(n.s) }
 
+// Over reports that there are more connections than there may be, as a reload has lowered the bound: one that falls idle is to
+// be closed.
+func (n *Place) Over() bool { return n.p.conns > n.p.most || n.s.conns > n.p.perNode }
+
 // ConnectTimeout is how long the making of a connection may take.
 func (n *Place) ConnectTimeout() time.Duration { return n.p.dialFor }
 
+// IdleTimeout is how long a connection may stand idle, well within the time after which nodes may close it; 0: for ever.
+func (n *Place) IdleTimeout() time.Duration { return n.p.idleFor }
+
 // Try is one attempt, for a carrier.
 type Try struct {
 	l     *loop
 	a     *attempt
-	carry Carrier // that it was started by: a node that has moved has another
+	carry Carrier // that it was started by: a node that has moved has another; nil: by none
+	Own   any     // the carrier's own
 }
 
-// Values are the request's. Came and Patience are not told: Left is what a node may take. Names that a client's list holds
-// beyond them do not go on.
-func (t *Try) Values() Values {
-	c := t.a.req.cmd
-	v := Values{Customer: c.req.Customer, ID: c.id(), Class: c.req.Class, Plan: c.req.Plan, Key: c.key, Units: c.req.Units,
-		Spread: c.req.Spread, First: c.req.First, Again: c.req.Again, Write: c.req.Write}
-	if len(c.args) > listArg+1 {
-		v.Body = c.args[listArg+1]
-	}
-	return v
-}
+// Values are the request's. Patience and Came are not for the node: Left is what it may take.
+func (t *Try) Values() *Values { return t.a.req.v }
 
 // Left is how long it will be waited for.
-func (t *Try) Left() time.Duration { return t.a.until - t.l.clock.now() }
+func (t *Try) Left() time.Duration { return t.a.until - t.l.clock.Now() }
 
 // Wanted looks again before the first byte, as all may have changed while a connection was made: the attempt may have been
 // called off or its request answered, and its node may drain or have moved. If it reports false, the try has ended.
@@ -135,6 +138,3 @@
 	}
 	t.l.ended(t.a, f.outcome())
 }
-
-// LocalFault reports whether a connection was not made for want of something on this machine.
-func LocalFault(err error) bool { return localFault(err) }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -28,12 +28,13 @@
 	Sockets    int
 	PeerListen netip.AddrPort   // the zero value: no messages
 	Peers      []netip.AddrPort // by the gateways' numbers
-	Known      serverList       // as this gateway last had it
+	Known      ServerList       // as this gateway last had it
 	Settings   settings.Settings
 	Tuning     tuning.Tuning   // the zero value: what holds without an operator file
 	Routes     []*route.Route  // proven by Prove; none: the module's own bounds hold
-	Backs      map[string]Back // by nodes' kind; kinds that are not named are reached by RESP2
-	Fronts     []Front         // beside RESP2's, which always listens; none without an operators' file
+	Fronts     []Front         // by which clients come
+	Back       Back            // by which nodes are reached
+	Backs      map[string]Back // by which nodes of a kind are reached in its place
 }
 
 // fileConfig is the form of the configuration file.
@@ -49,7 +50,7 @@
 	} `json:"limits"`
 	PeerListen string          `json:"peer_listen"`
 	Peers      []string        `json:"peers"`
-	Known      serverList      `json:"known"`
+	Known      ServerList      `json:"known"`
 	Settings   json.RawMessage `json:"settings"`
 }
 
@@ -167,6 +168,14 @@
 	return nil
 }
 
+// back is how nodes of a kind are reached.
+func (c *Config) back(kind string) Back {
+	if b := c.Backs[kind]; b != nil {
+		return b
+	}
+	return c.Back
+}
+
 func (c *Config) hasPlan(name string) bool {
 	for i := range c.Settings.Decide.Plans {
 		if c.Settings.Decide.Plans[i].Name == name {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -23,14 +23,15 @@
 	listMost   = 8 << 20 // bytes of a list
 )
 
-// serverList is discovery's form of a list of servers.
-type serverList struct {
+// ServerList is discovery's form of a list of servers.
+type ServerList struct {
 	Version uint64        `json:"version"`
 	Full    bool          `json:"full"`
-	Servers []serverEntry `json:"servers"`
+	Servers []ServerEntry `json:"servers"`
 }
 
-type serverEntry struct {
+// ServerEntry is a server as discovery tells it.
+type ServerEntry struct {
 	ID        string  `json:"id"`
 	Addr      string  `json:"addr"`
 	Zone      string  `json:"zone"`
@@ -41,7 +42,7 @@
 	StartedMS int64   `json:"started_ms"`
 }
 
-func (e *serverEntry) state() (decide.State, error) {
+func (e *ServerEntry) state() (decide.State, error) {
 	switch e.State {
 	case "up":
 		return decide.Serving, nil
@@ -54,7 +55,7 @@
 }
 
 // check reports the first entry that can't be used. A list is taken whole or not at all.
-func (l *serverList) check() error {
+func (l *ServerList) check() error {
 	for i := range l.Servers {
 		e := &l.Servers[i]
 		state, err := e.state()
@@ -71,14 +72,6 @@
 	return nil
 }
 
-// fleetNews hands a list to the loop.
-type fleetNews struct {
-	kind decide.FleetKind
-	list serverList
-}
-
-func (n fleetNews) apply(l *loop) { l.fleet(n.kind, n.list) }
-
 // watcher follows discovery.
 type watcher struct {
 	client *http.Client
@@ -86,25 +79,25 @@
 	wait   time.Duration // of a watch
 	over   time.Duration // past its wait a call is given up
 	check  time.Duration // a call that does not wait is given up
-	post   func(event)
+	news   func(decide.FleetKind, ServerList)
 	log    *slog.Logger
 }
 
-func newWatcher(addr netip.AddrPort, post func(event), log *slog.Logger) *watcher {
+func newWatcher(addr netip.AddrPort, news func(decide.FleetKind, ServerList), log *slog.Logger) *watcher {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: watchOver}).DialContext,
 		MaxIdleConns: 1, DisableCompression: true}
 	return &watcher{client: &http.Client{Transport: transport}, base: "http://" + addr.String() + "/v1/servers",
-		wait: watchWait, over: watchOver, check: checkMost, post: post, log: log}
+		wait: watchWait, over: watchOver, check: checkMost, news: news, log: log}
 }
 
 // follow watches discovery at an address, and from each move on at the new one. A move calls off what waits at
 // the old address and begins with the whole list of the new one, only after the old watcher has ended: versions
 // of the two tell nothing of each other, so their changes must never be mixed. Until the new one answers, the
 // list last told stays.
-func follow(ctx context.Context, addr netip.AddrPort, moves <-chan netip.AddrPort, post func(event), log *slog.Logger) {
+func follow(ctx context.Context, addr netip.AddrPort, moves <-chan netip.AddrPort, news func(decide.FleetKind, ServerList), log *slog.Logger) {
 	for ctx.Err() == nil {
 		at, cancel := context.WithCancel(ctx)
-		w, ended := newWatcher(addr, post, log), make(chan struct{})
+		w, ended := newWatcher(addr, news, log), make(chan struct{})
 		go func() {
 			defer close(ended)
 			w.run(at)
@@ -153,7 +146,7 @@
 			kind = decide.FleetFull
 		}
 		if list.Full || len(list.Servers) > 0 {
-			w.post(fleetNews{kind, list})
+			w.news(kind, list)
 		} else if time.Since(called) < watchRetry {
 			sleep(ctx, watchRetry) // discovery that does not wait must not be asked without end
 		}
@@ -161,10 +154,10 @@
 	}
 }
 
-func (w *watcher) fetch(ctx context.Context, url string, within time.Duration) (serverList, error) {
+func (w *watcher) fetch(ctx context.Context, url string, within time.Duration) (ServerList, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	var list serverList
+	var list ServerList
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return list, fmt.Errorf("making a call: %w", err)
@@ -198,7 +191,7 @@
 }
 
 // server is the entry in the module's words. The loop's clock counts from the Unix epoch, as start times do.
-func (e *serverEntry) server() decide.Server {
+func (e *ServerEntry) server() decide.Server {
 	state, err := e.state()
 	if err != nil {
 		state = decide.Gone // unreachable for a checked list
--- /dev/null
+++ b/internal/gateway/export_test.go
@@ -0,0 +1,20 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"sloepick/internal/settings"
+	"sloepick/internal/stand"
+)
+
+// SmallConfig is that of a gateway on the small platform, for tests inside and outside of this package.
+func SmallConfig(t *testing.T, aim time.Duration, servers []ServerEntry) Config {
+	t.Helper()
+	set, err := settings.Parse(stand.Profile(aim))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Config{Name: "n0", Cores: 1, MemoryMB: 64, Sockets: 256, Settings: set, Seed: 1,
+		Known: ServerList{Version: 1, Full: true, Servers: servers}}
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"strconv"
 	"time"
 
 	"sloepick/decide"
@@ -14,7 +13,7 @@
 )
 
 // Front takes clients in by a protocol of its own. Listen comes first, in the goroutine of the start; Serve takes
-// connections, in one of its own, until Door.Closing or the context ends; Close is the last.
+// connections, in one of its own, until the front is closed; Close may come more than once, from any goroutine.
 type Front interface {
 	Listen(ctx context.Context) error
 	Serve(ctx context.Context, d *Door)
@@ -33,62 +32,43 @@
 // Asker is a request's place on a front. Ended is called by the loop once, possibly before Ask returns.
 type Asker interface{ Ended(e Ending) }
 
-// Kind is how a request ended.
-type Kind int
-
-// The kinds of endings.
-const (
-	Served   Kind = Kind(endServed)
-	Refused  Kind = Kind(endRefused)  // it never ran: trying again does no harm
-	Failed   Kind = Kind(endFailed)   // nothing is promised
-	Rejected Kind = Kind(endRejected) // the request itself can't be taken
-)
-
-// Ending is how a request ended for its client.
-type Ending struct {
-	Kind  Kind
-	Value []byte        // of Served: as a node gave it
-	After time.Duration // of Refused: when to come again; 0: no advice
-	Quota bool          // of Refused: the customer's quota has no room
-	Late  bool          // of Failed: time was up
-	Taken bool          // of Rejected: a request with its id is open
-	Why   string        // of Failed and Rejected
-}
-
-// Values are a request's, in no protocol's words.
-type Values struct {
-	Customer, ID, Class, Plan, Key string
-	Patience                       time.Duration // of the client, from Came on
-	Units                          float64
-	Spread, First                  int // the customer's set; Spread 0: not told
-	Again, Write                   bool
-	Body                           []byte
-	Came                           time.Duration
-}
-
-// Ticket is an open request; nil: it has had its ending.
+// Ticket is an open request. The zero value is none: it has had its ending.
 type Ticket struct{ r *request }
 
-// Door is what a front sees of the core. All but Post, Accept, Closing and Log are for the loop's goroutine, in which
-// what Post is given runs, and what At and Later are.
-type Door struct{ l *loop }
+// Open reports that the ticket is of a request.
+func (t Ticket) Open() bool { return t.r != nil }
 
-type call func()
-
-func (f call) apply(*loop) { f() }
+// Door is what fronts and backs see of the core. Post, Accept, Closing, Log, Now and Tuning may be called from any goroutine;
+// the others are for the loop's, in which what Post is given runs, and what At and Later are.
+type Door struct{ l *loop }
 
 // Post lets the loop call a function. It waits while the loop's inbox is full.
-func (d *Door) Post(f func()) { d.l.in.post(call(f)) }
+func (d *Door) Post(f func()) { d.l.in.post(f) }
 
-// Accept takes connections until the listener is closed, only so many ahead of the loop, and lets the loop call take for
-// each.
+// Accept takes connections until the listener is closed or the context ends, and lets the loop call take for each. Only so many
+// are taken ahead of the loop, which bounds the descriptors: hundreds that come at once wait in the kernel.
 func (d *Door) Accept(ctx context.Context, ln net.Listener, take func(net.Conn)) {
-	d.l.accepting(ctx, ln, func(c net.Conn) event {
-		return call(func() {
-			<-d.l.ahead
-			take(c)
-		})
-	})
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			d.l.log.Warn("accepting a connection", "err", err)
+			sleep(ctx, 10*time.Millisecond) // out of descriptors: some may be free then
+			continue
+		}
+		select {
+		case d.l.ahead <- struct{}{}:
+			d.l.in.post(func() {
+				<-d.l.ahead
+				take(conn)
+			})
+		case <-ctx.Done():
+			conn.Close()
+			return
+		}
+	}
 }
 
 // Closing is closed when nothing new is taken any more.
@@ -97,8 +77,8 @@
 // Log is the gateway's.
 func (d *Door) Log() *slog.Logger { return d.l.log }
 
-// Now is the loop's time.
-func (d *Door) Now() time.Duration { return d.l.clock.now() }
+// Now is the core's time.
+func (d *Door) Now() time.Duration { return d.l.clock.Now() }
 
 // Tuning is what operators set.
 func (d *Door) Tuning() *tuning.Tuning { return d.l.tune.Load() }
@@ -127,109 +107,87 @@
 // Gone forgets a connection that was closed.
 func (d *Door) Gone(c Conn) { delete(d.l.clients, c) }
 
-type frontAsker struct{ Asker }
-
-func (f frontAsker) ended(_ *loop, e ending) {
-	f.Ended(Ending{Kind: Kind(e.kind), Value: e.value, After: e.after, Quota: e.quota, Late: e.late, Taken: e.taken, Why: e.why})
-}
-
 // Ask takes a request into the core.
-func (d *Door) Ask(from Asker, v *Values) *Ticket {
-	cmd, err := v.command(&d.l.cfg)
-	if err != nil {
-		from.Ended(Ending{Kind: Rejected, Why: err.Error()})
-		return nil
-	}
-	if r := d.l.accept(frontAsker{from}, cmd); r != nil {
-		return &Ticket{r}
-	}
-	return nil
-}
+func (d *Door) Ask(from Asker, v *Values) Ticket { return Ticket{d.l.accept(from, v)} }
+
+// Decide has the module hear at once of what was asked and abandoned in this turn; otherwise it does when the call that the loop
+// makes returns. A front with many requests at hand calls it between them, so that each is held to what the one before left.
+func (d *Door) Decide() { d.l.drainTodo() }
 
 // Abandon ends a request whose client has gone away.
-func (d *Door) Abandon(t *Ticket) { d.l.abandon(t.r) }
+func (d *Door) Abandon(t Ticket) { d.l.abandon(t.r) }
 
 // Room is what the customer's bucket has room for now.
 func (d *Door) Room(customer, plan string) (decide.Room, bool) {
 	return d.l.core.RoomOf(d.Now(), customer, plan)
 }
 
-// listWord reports that a value can stand in the list of a command.
-func listWord(s string) bool {
-	for i := range len(s) {
-		if s[i] <= ' ' || s[i] == ',' || s[i] > '~' {
-			return false
-		}
+// admit counts a client's connection among the descriptors. It reports false if there is no room.
+func (l *loop) admit(c Conn) bool {
+	if len(l.clients) >= sockets(l.cfg.Sockets, l.tune.Load().Clients.Descriptors) {
+		l.evictClient()
 	}
+	if len(l.clients) >= l.cfg.Sockets-leastSockets {
+		return false
+	}
+	l.joined++
+	l.clients[c] = l.joined
 	return true
 }
 
-// command is the request as RESP2's nodes take it, held to the same rules as one that came by RESP2.
-func (v *Values) command(cfg *Config) (*command, error) {
-	name := "Q.ASK"
-	if v.Write {
-		name = "Q.DO"
-	}
-	if !listWord(v.Class) || !listWord(v.Plan) || !listWord(v.Key) {
-		return nil, errors.New("a value holds a comma, a space or what is not printable")
-	}
-	if len(v.Body) > valueMost {
-		return nil, fmt.Errorf("the body is over %d bytes", valueMost)
-	}
-	b := append(append(append(append([]byte("c="), v.Class...), ",t="...), v.Plan...), ",d="...)
-	b = strconv.AppendInt(b, v.Patience.Milliseconds(), 10)
-	if v.Key != "" {
-		b = append(append(b, ",k="...), v.Key...)
-	}
-	if v.Again {
-		b = append(b, ",r=1"...)
-	}
-	b = strconv.AppendFloat(append(b, ",units="...), v.Units, 'f', -1, 64)
-	if v.Spread > 0 {
-		b = strconv.AppendInt(append(b, ",spread="...), int64(v.Spread), 10)
-		b = strconv.AppendInt(append(b, ",first="...), int64(v.First), 10)
+// evictClient makes room for a new connection by closing the one that has been quiet for longest. (Closing those
+// that have not asked yet in its place was measured: in a crowd of newcomers it is they who are about to ask.) If
+// all are owed answers nothing is closed, and the new one takes from the servers' share of descriptors.
+func (l *loop) evictClient() {
+	var quiet Conn
+	for c, n := range l.clients {
+		if c.Quiet() && (quiet == nil || c.Used() < quiet.Used() || c.Used() == quiet.Used() && n < l.clients[quiet]) {
+			quiet = c
+		}
 	}
-	args := [][]byte{[]byte(name), []byte(v.Customer), []byte(v.ID), b}
-	if len(v.Body) > 0 {
-		args = append(args, v.Body)
+	if quiet != nil {
+		quiet.Wean()
 	}
-	return parseRequest(cfg, name, args, v.Came)
 }
 
-// Outlet writes to a connection without making the loop wait, as far as the kernel takes bytes at once.
-type Outlet struct {
-	o   outlet
-	raw bool // the kernel takes bytes as they are; else all goes by Finish
+// Listener is a front's socket, for fronts to embed.
+type Listener struct {
+	name  string // in errors
+	addr  string
+	ln    net.Listener
+	ready chan struct{} // closed when ln is there
 }
 
-// NewOutlet makes one. A connection that is not the kernel's own, such as a TLS one, only has Finish.
-func NewOutlet(c net.Conn) *Outlet {
-	if o, err := newOutlet(c); err == nil {
-		return &Outlet{o, true}
-	}
-	return &Outlet{outlet{conn: c}, false}
+// NewListener makes one that does not listen yet. The name stands in its errors.
+func NewListener(name, addr string) Listener {
+	return Listener{name: name, addr: addr, ready: make(chan struct{})}
 }
 
-// Try writes what is taken at once.
-func (o *Outlet) Try(b []byte) (int, error) {
-	if !o.raw {
-		return 0, nil
+// Listen opens it.
+func (s *Listener) Listen(ctx context.Context) (err error) {
+	var lc net.ListenConfig
+	if s.ln, err = lc.Listen(ctx, "tcp", s.addr); err != nil {
+		return fmt.Errorf("%s: %w", s.name, err)
 	}
-	return o.o.try(b)
+	close(s.ready)
+	return nil
 }
 
-// Quiet reports that nothing of the peer's waits in the kernel. Where that can't be seen, it reports false.
-func (o *Outlet) Quiet() bool { return o.raw && o.o.quiet() }
+// Addr is where it listens. It waits until it does.
+func (s *Listener) Addr() net.Addr {
+	<-s.ready
+	return s.ln.Addr()
+}
 
-// Busy reports that Finish has not ended.
-func (o *Outlet) Busy() bool { return o.o.busy }
+// Accept takes connections as Door.Accept does.
+func (s *Listener) Accept(ctx context.Context, d *Door, take func(net.Conn)) {
+	d.Accept(ctx, s.ln, take)
+}
 
-// Finish writes the rest from a goroutine, within a time, and then lets the loop call done.
-func (o *Outlet) Finish(rest []byte, within time.Duration, d *Door, done func(error)) {
-	o.o.finish(rest, within, d.l.in.post, func(err error) event {
-		return call(func() {
-			o.o.busy = false
-			done(err)
-		})
-	})
+// Close ends it. One that is closed already stays so.
+func (s *Listener) Close() error {
+	if err := s.ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("%s: %w", s.name, err)
+	}
+	return nil
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,4 +1,4 @@
-package gateway
+package gateway_test
 
 import (
 	"net"
@@ -6,9 +6,9 @@
 	"strings"
 	"testing"
 	"time"
-)
 
-const long = 30 * time.Second // an aim that no test reaches
+	"sloepick/internal/gateway"
+)
 
 // A request goes on as the client sent it, but for the time that is left.
 func TestServes(t *testing.T) {
@@ -204,7 +204,7 @@
 	x := a.next(t)
 	x.answer(t, served("v"))
 	c.want("$v")
-	r.reg.set(serverList{Version: 2, Full: true, Servers: entries("draining", a)})
+	r.reg.set(gateway.ServerList{Version: 2, Full: true, Servers: entries("draining", a)})
 	if x := a.next(t); x.args != nil { // told: the idle connection is closed
 		t.Fatalf("the server got %q", x.args)
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"log/slog"
+	"maps"
 	"runtime/debug"
+	"slices"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,148 +17,33 @@
 	"sloepick/internal/tuning"
 )
 
-// event is something that the loop is told by another goroutine.
-type event interface{ apply(l *loop) }
-
-// inbox holds events until the loop takes all of them in one wake-up. Whoever posts to a full one waits, so
-// that peers who send faster than the loop works wait in the kernel and not in memory. The loop never posts.
-type inbox struct {
-	mu     sync.Mutex
-	room   sync.Cond
-	items  []event
-	closed bool
-	ready  chan struct{}
-}
-
-const inboxMost = 1024 // events: far more than a turn of the loop brings, and some MB if all are large
-
-func newInbox() *inbox {
-	q := &inbox{ready: make(chan struct{}, 1)}
-	q.room.L = &q.mu
-	return q
-}
-
-func (q *inbox) post(e event) {
-	q.mu.Lock()
-	for len(q.items) >= inboxMost && !q.closed {
-		q.room.Wait()
-	}
-	q.items = append(q.items, e)
-	first := len(q.items) == 1
-	q.mu.Unlock()
-	if first {
-		select {
-		case q.ready <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// close lets those who wait go on: nothing is taken any more.
-func (q *inbox) close() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.closed = true
-	q.room.Broadcast()
-}
-
-// take returns what has come in; spare is a former batch whose memory is used again.
-func (q *inbox) take(spare []event) []event {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	items := q.items
-	q.items = spare[:0]
-	q.room.Broadcast()
-	return items
-}
-
-// clock tells the time since the Unix epoch. It reads the wall clock once, as servers' start times are told
-// by it, and goes by the monotonic clock from then on, so it never runs backwards.
-type clock struct {
-	start time.Time
-	epoch time.Duration
-}
-
-func newClock() clock {
-	now := time.Now()
-	return clock{now, time.Duration(now.UnixNano())}
-}
-
-func (c clock) now() time.Duration { return c.epoch + time.Since(c.start) }
-
-// alarm is a call that is due at a time.
-type alarm struct {
-	at    time.Duration
-	do    func()
-	index int // in the heap, or -1
-}
-
-type alarms []*alarm
-
-func (a alarms) Len() int           { return len(a) }
-func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
-func (a alarms) Swap(i, j int) {
-	a[i], a[j] = a[j], a[i]
-	a[i].index, a[j].index = i, j
-}
-func (a *alarms) Push(x any) {
-	x.(*alarm).index = len(*a)
-	*a = append(*a, x.(*alarm))
-}
-func (a *alarms) Pop() any {
-	old := *a
-	n := len(old) - 1
-	x := old[n]
-	old[n], x.index = nil, -1
-	*a = old[:n]
-	return x
-}
-
-// request is a client's request until its final answer is given and nothing of it is out.
-type request struct {
-	id       string // the module's; a client's own ids may come twice
-	from     asker
-	cmd      *command
-	attempts []*attempt
-	overdue  *alarm
-	out      int          // attempts that have not ended
-	routes   *route.Table // the table that its route stands in; nil: it has none
-	route    int
-	done     bool
-}
-
-// ranOut reports whether a request that failed did so for want of time: its last attempt was still out, or timed out.
-func (r *request) ranOut() bool {
-	if len(r.attempts) == 0 {
-		return false
-	}
-	a := r.attempts[len(r.attempts)-1]
-	return !a.over || a.outcome == decide.TimedOut
-}
-
 // loop owns the decision module and all that changes. Only its own goroutine touches it.
 type loop struct {
 	cfg      Config
 	log      *slog.Logger
-	clock    clock
+	clock    Clock
+	door     *Door
 	core     *decide.Gateway
 	in       *inbox
-	peers    *peerLink // nil where messages are not allowed
+	peers    Peers // nil where messages are not allowed
 	alarms   alarms
 	todo     []decide.Event
 	requests map[string]*request
 	ids      map[string]struct{} // of the requests that are owed an answer, as their clients named them
 	nextID   uint64
 	pool     pool
-	clients  map[Conn]struct{}
+	clients  map[Conn]uint64 // by when they came
+	joined   uint64
 	tune     *atomic.Pointer[tuning.Tuning] // stored by the loop, read by the goroutines of connections too
 	routes   *route.Table                   // nil: none
 	ahead    chan struct{}                  // holds one for each connection that was taken and is not counted yet
 	held     int                            // bytes of the commands of open requests
+	batch    []func()                       // of the inbox, as it was taken last
 	after    []func()                       // to be done once the turn's events are handled
 	closed   chan struct{}                  // closed when nothing new is taken
 	closing  bool
 	restarts int
+	tap      func(decide.Event, []decide.Action) // nil: none
 }
 
 const (
@@ -165,12 +52,13 @@
 	overdueAfter = 5 * time.Millisecond // past its end, a request that the module left open is failed
 )
 
-func newLoop(cfg Config, log *slog.Logger) (*loop, error) {
-	l := &loop{cfg: cfg, log: log, clock: newClock(), in: newInbox(), requests: map[string]*request{},
-		ids: map[string]struct{}{}, clients: map[Conn]struct{}{}, tune: &atomic.Pointer[tuning.Tuning]{}, closed: make(chan struct{})}
+func newLoop(cfg Config, clock Clock, log *slog.Logger) (*loop, error) {
+	l := &loop{cfg: cfg, log: log, clock: clock, in: newInbox(), requests: map[string]*request{},
+		ids: map[string]struct{}{}, clients: map[Conn]uint64{}, tune: &atomic.Pointer[tuning.Tuning]{}, closed: make(chan struct{})}
 	if cfg.Tuning == (tuning.Tuning{}) {
 		cfg.Tuning = tuning.Default()
 	}
+	l.door = &Door{l}
 	l.tune.Store(&cfg.Tuning)
 	l.ahead = make(chan struct{}, cfg.Tuning.Clients.AcceptAhead)
 	l.pool = newPool(l, cfg)
@@ -196,21 +84,15 @@
 func (l *loop) run() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	var batch []event
 	for !l.finished() {
 		if len(l.alarms) > 0 {
-			timer.Reset(l.alarms[0].at - l.clock.now())
+			timer.Reset(l.alarms[0].at - l.clock.Now())
 		} else {
 			timer.Reset(time.Hour)
 		}
 		select {
 		case <-l.in.ready:
-			batch = l.in.take(batch)
-			for i, e := range batch {
-				batch[i] = nil // what it holds can go
-				e.apply(l)
-				l.drainTodo()
-			}
+			l.taken()
 		case <-timer.C:
 		}
 		l.ring()
@@ -220,6 +102,16 @@
 	l.drainTodo()
 }
 
+// taken does what was posted.
+func (l *loop) taken() {
+	l.batch = l.in.take(l.batch)
+	for i, do := range l.batch {
+		l.batch[i] = nil // what it holds can go
+		do()
+		l.drainTodo()
+	}
+}
+
 // settle does what waits for the end of a turn, such as writing all answers of a connection at once.
 func (l *loop) settle() {
 	for i := 0; i < len(l.after); i++ {
@@ -232,7 +124,7 @@
 
 // ring makes the calls that are due.
 func (l *loop) ring() {
-	now := l.clock.now()
+	now := l.clock.Now()
 	for len(l.alarms) > 0 && l.alarms[0].at <= now {
 		heap.Pop(&l.alarms).(*alarm).do()
 		l.drainTodo()
@@ -280,7 +172,11 @@
 			l.restart(core)
 		}
 	}()
-	return core.Handle(l.clock.now(), ev)
+	actions = core.Handle(l.clock.Now(), ev)
+	if l.tap != nil {
+		l.tap(ev, actions)
+	}
+	return actions
 }
 
 func (l *loop) restart(broken *decide.Gateway) {
@@ -292,8 +188,8 @@
 		l.log.Error("no new decision module", "err", err) // the settings were good before
 		return
 	}
-	for _, r := range l.requests {
-		l.answer(r, ending{kind: endFailed, why: "internal error"})
+	for _, r := range slices.SortedFunc(maps.Values(l.requests), func(a, b *request) int { return cmp.Compare(a.n, b.n) }) {
+		l.answer(r, Ending{Kind: Failed, Why: "internal error"})
 		for _, a := range r.attempts {
 			l.pool.cancel(a)
 		}
@@ -313,11 +209,11 @@
 		}
 	case decide.Refuse:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, ending{kind: endRefused, after: a.RetryAfter, quota: a.Quota})
+			l.answer(r, Ending{Kind: Refused, After: a.RetryAfter, Quota: a.Quota})
 		}
 	case decide.Fail:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, ending{kind: endFailed, why: "failed", late: r.ranOut()})
+			l.answer(r, Ending{Kind: Failed, Why: "failed", Late: r.ranOut()})
 		}
 	case decide.SetTimer:
 		core := l.core
@@ -330,7 +226,7 @@
 		if l.peers == nil {
 			return
 		}
-		if err := l.peers.tell(a.To, a.Text); err != nil {
+		if err := l.peers.Tell(a.To, a.Text); err != nil {
 			l.log.Debug("a message was not sent", "err", err) // as if lost
 		}
 	case decide.Log:
@@ -344,35 +240,39 @@
 func (l *loop) heldMost() int { return int(float64(l.cfg.MemoryMB<<20) * l.tune.Load().Clients.Held) }
 
 // accept takes a request that a front has read whole. It returns nil if the request has its ending already.
-func (l *loop) accept(from asker, cmd *command) *request {
+func (l *loop) accept(from Asker, v *Values) *request {
+	if err := v.check(&l.cfg); err != nil {
+		from.Ended(Ending{Kind: Rejected, Why: err.Error()})
+		return nil
+	}
 	cap := l.cfg.Settings.OpenCap
-	if l.held+cmd.size() > l.heldMost() || (cap > 0 && len(l.requests) >= cap) {
-		from.ended(l, ending{kind: endRefused, after: l.cfg.Settings.Decide.Limits.MaxRetryAfter})
+	if l.held+v.size() > l.heldMost() || (cap > 0 && len(l.requests) >= cap) {
+		from.Ended(Ending{Kind: Refused, After: l.cfg.Settings.Decide.Limits.MaxRetryAfter})
 		return nil
 	}
-	if _, open := l.ids[cmd.id()]; open { // two of one id must never meet one another's answer
-		from.ended(l, ending{kind: endRejected, why: "a request with this id is open", taken: true})
+	if _, open := l.ids[v.ID]; open { // two of one id must never meet one another's answer
+		from.Ended(Ending{Kind: Rejected, Why: "a request with this id is open", Taken: true})
 		return nil
 	}
 	l.nextID++
-	r := &request{id: strconv.FormatUint(l.nextID, 36), from: from, cmd: cmd}
+	r := &request{id: strconv.FormatUint(l.nextID, 36), n: l.nextID, from: from, v: v}
 	if !l.enter(r) {
 		advice := r.routes.Route(r.route).Advice
 		if advice == 0 {
 			advice = l.cfg.Settings.Decide.Limits.MaxRetryAfter
 		}
-		from.ended(l, ending{kind: endRefused, after: advice})
+		from.Ended(Ending{Kind: Refused, After: advice})
 		return nil
 	}
 	l.requests[r.id] = r
-	l.ids[cmd.id()] = struct{}{}
-	l.held += cmd.size()
-	deadline := cmd.came + min(cmd.wait, cmd.limit) - deadlineMargin
+	l.ids[v.ID] = struct{}{}
+	l.held += v.size()
+	deadline := v.Came + min(v.Patience, v.limit) - deadlineMargin
 	r.overdue = l.at(deadline+overdueAfter, func() { l.overdue(r) })
-	ev := cmd.req
-	ev.ID, ev.Deadline = r.id, deadline
+	ev := r.event()
+	ev.Deadline = deadline
 	if r.routes != nil {
-		ev.Bounds = r.routes.Bounds(r.route, ev.Class, l.clock.now())
+		ev.Bounds = r.routes.Bounds(r.route, ev.Class, l.clock.Now())
 	}
 	l.feed(ev)
 	return r
@@ -391,8 +291,7 @@
 	if l.routes == nil {
 		return true
 	}
-	q := &r.cmd.req
-	n := l.routes.Match(route.Ask{Class: q.Class, Plan: q.Plan, Customer: q.Customer, Patience: r.cmd.wait})
+	n := l.routes.Match(route.Ask{Class: r.v.Class, Plan: r.v.Plan, Customer: r.v.Customer, Patience: r.v.Patience})
 	if n < 0 {
 		return true
 	}
@@ -406,18 +305,18 @@
 	if r.done {
 		return
 	}
-	l.log.Error("a request was left open past its deadline", "class", r.cmd.req.Class, "attempts", len(r.attempts))
-	l.answer(r, ending{kind: endFailed, why: "failed", late: true})
+	l.log.Error("a request was left open past its deadline", "class", r.v.Class, "attempts", len(r.attempts))
+	l.answer(r, Ending{Kind: Failed, Why: "failed", Late: true})
 	l.feed(decide.ClientGone{ID: r.id})
 }
 
 // answer gives a request its final answer, once.
-func (l *loop) answer(r *request, e ending) {
+func (l *loop) answer(r *request, e Ending) {
 	if r.done {
 		return
 	}
 	l.end(r)
-	r.from.ended(l, e)
+	r.from.Ended(e)
 }
 
 // abandon ends a request whose client has gone away.
@@ -434,8 +333,8 @@
 	if r.routes != nil {
 		r.routes.End(r.route)
 	}
-	l.held -= r.cmd.size()
-	delete(l.ids, r.cmd.id())
+	l.held -= r.v.size()
+	delete(l.ids, r.v.ID)
 	l.unset(r.overdue)
 	l.drop(r)
 }
@@ -453,7 +352,7 @@
 	if r == nil {
 		return
 	}
-	now := l.clock.now()
+	now := l.clock.Now()
 	a := &attempt{req: r, n: len(r.attempts), at: now, until: now + s.Timeout, server: l.pool.servers[s.Server]}
 	r.attempts = append(r.attempts, a)
 	r.out++
@@ -476,7 +375,7 @@
 	l.unset(a.expiry)
 	r := a.req
 	r.out--
-	ev := decide.AttemptEnded{ID: r.id, Attempt: a.n, Outcome: o, Took: l.clock.now() - a.at, Done: r.done,
+	ev := decide.AttemptEnded{ID: r.id, Attempt: a.n, Outcome: o, Took: l.clock.Now() - a.at, Done: r.done,
 		Metered: u.metered, TrueUnits: u.units}
 	if a.server != nil {
 		ev.Server = a.server.id
@@ -489,15 +388,15 @@
 // called off by then.
 func (l *loop) served(a *attempt, value, figures []byte) {
 	if r := a.req; r.routes != nil {
-		now := l.clock.now()
-		r.routes.Answered(r.route, r.cmd.req.Class, now-a.at, now)
+		now := l.clock.Now()
+		r.routes.Answered(r.route, r.v.Class, now-a.at, now)
 	}
-	l.answer(a.req, ending{kind: endServed, value: value})
+	l.answer(a.req, Ending{Kind: Served, Value: value})
 	l.endedWith(a, decide.OK, l.cfg.readUse(figures))
 }
 
 // fleet takes a list of servers.
-func (l *loop) fleet(kind decide.FleetKind, list serverList) {
+func (l *loop) fleet(kind decide.FleetKind, list ServerList) {
 	u := decide.FleetUpdate{Kind: kind, Version: list.Version}
 	listed := map[string]bool{}
 	for i := range list.Servers {
--- a/internal/gateway/outlet.go
+++ b/internal/gateway/outlet.go
@@ -2,34 +2,35 @@
 
 import (
 	"errors"
-	"fmt"
 	"net"
 	"syscall"
 	"time"
 )
 
-// outlet writes to a connection without making the loop wait: the kernel takes what it can at once, and a
-// goroutine with a time limit writes what a slow peer leaves.
-type outlet struct {
+// Outlet writes to a connection without making the loop wait: the kernel takes what it can at once, and a goroutine with a time
+// limit writes what a slow peer leaves.
+type Outlet struct {
 	conn net.Conn
-	raw  syscall.RawConn
-	busy bool // a goroutine is writing
+	raw  syscall.RawConn // nil: the kernel does not take bytes as they are; all goes by Finish
+	busy bool            // a goroutine is writing
 }
 
-func newOutlet(conn net.Conn) (outlet, error) {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return outlet{}, fmt.Errorf("connection %T has no descriptor", conn)
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return outlet{}, fmt.Errorf("reaching the descriptor: %w", err)
+// NewOutlet makes one. A connection that is not the kernel's own, such as a TLS one, only has Finish.
+func NewOutlet(c net.Conn) *Outlet {
+	o := &Outlet{conn: c}
+	if sc, ok := c.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			o.raw = raw
+		}
 	}
-	return outlet{conn: conn, raw: raw}, nil
+	return o
 }
 
-// try writes what the kernel takes at once. Taking nothing is no error.
-func (o *outlet) try(b []byte) (n int, err error) {
+// Try writes what the kernel takes at once. Taking nothing is no error.
+func (o *Outlet) Try(b []byte) (n int, err error) {
+	if o.raw == nil {
+		return 0, nil
+	}
 	opErr := o.raw.Write(func(fd uintptr) bool {
 		for n < len(b) {
 			var m int
@@ -49,8 +50,12 @@
 	return n, errors.Join(opErr, err)
 }
 
-// quiet reports whether the connection is open and nothing has come on it that was not read.
-func (o *outlet) quiet() bool {
+// Quiet reports whether the connection is open and nothing has come on it that was not read. Where that can't be seen, it
+// reports false.
+func (o *Outlet) Quiet() bool {
+	if o.raw == nil {
+		return false
+	}
 	var err error
 	opErr := o.raw.Control(func(fd uintptr) {
 		var b [1]byte
@@ -59,14 +64,20 @@
 	return opErr == nil && errors.Is(err, syscall.EAGAIN)
 }
 
-// finish writes the rest from a goroutine of its own and then posts what done makes of the result.
-func (o *outlet) finish(rest []byte, within time.Duration, post func(event), done func(error) event) {
+// Busy reports that Finish has not ended.
+func (o *Outlet) Busy() bool { return o.busy }
+
+// Finish writes the rest from a goroutine of its own, within a time, and then lets the loop call done.
+func (o *Outlet) Finish(rest []byte, within time.Duration, d *Door, done func(error)) {
 	o.busy = true
 	go func() {
 		err := o.conn.SetWriteDeadline(time.Now().Add(within))
 		if err == nil {
 			_, err = o.conn.Write(rest)
 		}
-		post(done(err))
+		d.Post(func() {
+			o.busy = false
+			done(err)
+		})
 	}()
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,12 +6,15 @@
 	"log/slog"
 	"net"
 	"net/netip"
-
-	"sloepick/decide"
 )
 
 const datagramMost = 256 // bytes of a message between gateways
 
+// Peers carry messages to the other gateways, by their numbers. Tell never waits; what it sends may be lost.
+type Peers interface {
+	Tell(to int, text string) error
+}
+
 // peerLink is the socket to the other gateways.
 type peerLink struct {
 	conn  *net.UDPConn
@@ -19,14 +22,6 @@
 	ranks map[netip.AddrPort]int
 }
 
-// datagram hands a peer's message to the loop.
-type datagram struct {
-	from int
-	text string
-}
-
-func (d datagram) apply(l *loop) { l.feed(decide.PeerMessage{From: d.from, Text: d.text}) }
-
 func openPeers(listen netip.AddrPort, addrs []netip.AddrPort) (*peerLink, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
 	if err != nil {
@@ -39,8 +34,8 @@
 	return p, nil
 }
 
-// tell sends a message to a gateway by its number. It may be lost, as any datagram.
-func (p *peerLink) tell(to int, text string) error {
+// Tell sends a message to a gateway by its number. It may be lost, as any datagram.
+func (p *peerLink) Tell(to int, text string) error {
 	if to < 0 || to >= len(p.addrs) || len(text) > datagramMost {
 		return fmt.Errorf("message of %d bytes to gateway %d can't be sent", len(text), to)
 	}
@@ -52,7 +47,7 @@
 
 // read hands on the messages of known gateways until the socket is closed. What comes from elsewhere or is
 // too long is dropped: anyone may send to the port.
-func (p *peerLink) read(post func(event), log *slog.Logger) {
+func (p *peerLink) read(hand func(from int, text string), log *slog.Logger) {
 	buf := make([]byte, datagramMost+1)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
@@ -67,6 +62,6 @@
 		if !ok || n > datagramMost {
 			continue
 		}
-		post(datagram{rank, string(buf[:n])})
+		hand(rank, string(buf[:n]))
 	}
 }
--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -1,13 +1,13 @@
-package gateway
+package gateway_test
 
 import (
-	"fmt"
 	"net"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"sloepick/internal/gateway"
 )
 
 // wantCall waits for the next call that discovery gets and checks its query.
@@ -39,17 +39,17 @@
 	serveOne(t, c, "id-1", a)
 	r.reg.wantCall(t, "")
 	r.reg.wantCall(t, "after=1&wait_ms=4000") // this one waits
-	second, at2 := newRegistry(t, serverList{Version: 9, Full: true, Servers: entries("draining", a)})
-	third, at3 := newRegistry(t, serverList{Version: 0, Full: true, Servers: entries("up", b)})
-	r.moves <- Reload{Discovery: at2}
-	r.moves <- Reload{Discovery: at3} // the second may have been asked or not
+	second, at2 := newRegistry(t, gateway.ServerList{Version: 9, Full: true, Servers: entries("draining", a)})
+	third, at3 := newRegistry(t, gateway.ServerList{Version: 0, Full: true, Servers: entries("up", b)})
+	r.moves <- gateway.Reload{Discovery: at2}
+	r.moves <- gateway.Reload{Discovery: at3} // the second may have been asked or not
 	third.wantCall(t, "")
 	third.wantCall(t, "after=0&wait_ms=4000") // so the list was taken
 	serveOne(t, c, "id-2", b)
-	third.set(serverList{Version: 1, Servers: entries("draining", b)})
+	third.set(gateway.ServerList{Version: 1, Servers: entries("draining", b)})
 	third.wantCall(t, "after=1&wait_ms=4000")
-	r.reg.set(serverList{Version: 2, Full: true, Servers: entries("up", b)}) // the old ones are not heard
-	second.set(serverList{Version: 10, Full: true, Servers: entries("up", b)})
+	r.reg.set(gateway.ServerList{Version: 2, Full: true, Servers: entries("up", b)}) // the old ones are not heard
+	second.set(gateway.ServerList{Version: 10, Full: true, Servers: entries("up", b)})
 	c.look("id-3")
 	if got := c.read(); !strings.HasPrefix(got, "-BUSY") {
 		t.Errorf("got %q, want a refusal: the only server drains", got)
@@ -79,40 +79,53 @@
 			silent <- conn
 		}
 	}()
-	r.moves <- Reload{Discovery: netip.MustParseAddrPort(ln.Addr().String())}
+	r.moves <- gateway.Reload{Discovery: netip.MustParseAddrPort(ln.Addr().String())}
 	first := <-silent
 	serveOne(t, c, "id-1", a)
 	first.Close()
 	second := <-silent // it is asked again and again
 	second.Close()
-	up, at := newRegistry(t, serverList{Version: 1, Full: true, Servers: entries("up", b)})
-	r.moves <- Reload{Discovery: at}
+	up, at := newRegistry(t, gateway.ServerList{Version: 1, Full: true, Servers: entries("up", b)})
+	r.moves <- gateway.Reload{Discovery: at}
 	up.wantCall(t, "")
 	up.wantCall(t, "after=1")
 	serveOne(t, c, "id-2", b)
 }
 
-// What counts at a reload is the file: the environment of a running process can't change, and GW_DISCOVERY
-// would hold the gateway to its first address.
-func TestReloadReadsTheFile(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "config.json")
-	env := map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": "127.0.0.9:1"}
-	write := func(text string) {
-		text = strings.Replace(text, "SETTINGS", fmt.Sprintf(profile, 5), 1)
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
+// TestStopTellsPeers guards against customers who have but their even parts at the others for as long as a restart
+// takes: the last thing that a stopping gateway does is to tell its peers.
+func TestStopTellsPeers(t *testing.T) {
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	peer, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	if err := peer.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	cfg := gateway.SmallConfig(t, time.Second, nil)
+	cfg.PeerListen = local
+	cfg.Peers = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), peer.LocalAddr().(*net.UDPAddr).AddrPort()}
+	r := startRig(t, cfg)
+	buf, leaves := make([]byte, 256), 0
+	next := func() string {
+		n, err := peer.Read(buf)
+		if err != nil {
+			t.Fatalf("after %d words that it leaves: %v", leaves, err)
 		}
+		return string(buf[:n])
 	}
-	getenv := func(name string) string { return env[name] }
-	write(sample)
-	if c, err := LoadConfig(getenv); err != nil || c.Discovery.String() != "127.0.0.9:1" {
-		t.Errorf("at the start: %v, %v", c.Discovery, err)
+	if m := next(); m[0] != 'e' {
+		t.Errorf("a gateway at work told %q", m)
 	}
-	if addr, err := LoadDiscovery(getenv); err != nil || addr.String() != "127.0.0.1:8500" {
-		t.Errorf("at a reload: %v, %v", addr, err)
+	r.stop()
+	for leaves < 3 {
+		if m := next(); m[0] == 'x' {
+			leaves++
+		}
 	}
-	write(`{"name"`)
-	if _, err := LoadDiscovery(getenv); err == nil {
-		t.Error("a broken file passes")
+	if err := <-r.done; err != nil {
+		t.Error(err)
 	}
 }
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"sloepick/decide"
+	"sloepick/internal/route"
+)
+
+// Bounds on a request's values, whatever protocol they come by.
+const (
+	ValueMost    = 64 << 10    // bytes of a body, and of a node's value
+	idMost       = 128         // bytes of a request's id
+	keyMost      = 64          // bytes of an idempotency key
+	waitMost     = time.Minute // where its class has no deadline
+	unitsMost    = 1 << 10     // where the settings name no most
+	customerMost = 1<<33 - 1
+)
+
+// Values are a request's, in no protocol's words. Once the core has them they are not changed.
+type Values struct {
+	Customer, ID, Class, Plan, Key string
+	Patience                       time.Duration // of the client, from Came on
+	Units                          float64
+	Spread, First                  int // the customer's set; Spread 0: not told
+	Again, Write                   bool
+	Body                           []byte
+	Came                           time.Duration
+	Native                         any // the request as its own protocol has it, for a back of that protocol; nil: no more than this
+	Extra                          int // bytes that Native holds beyond this
+
+	limit time.Duration // of its class: no client waits longer
+}
+
+// size is how many bytes it holds while it is open.
+func (v *Values) size() int {
+	return len(v.Customer) + len(v.ID) + len(v.Class) + len(v.Plan) + len(v.Key) + len(v.Body) + v.Extra
+}
+
+// check holds a request's values to the settings. What passes is counted as the customer's demand, told to
+// peers and sent to servers, so a value that no usual client sends, in a usual customer's name, must end here:
+// it would bend that customer's share, or be held against the server that turns it away.
+func (v *Values) check(cfg *Config) error {
+	if n, err := strconv.ParseUint(v.Customer, 16, 64); err != nil || len(v.Customer) != 16 || n > customerMost {
+		return errors.New("the customer is not 16 hex digits, below 2^33")
+	}
+	k, set := cfg.class(v.Class), &cfg.Settings.Decide
+	if k == nil || !cfg.hasPlan(v.Plan) {
+		return errors.New("unknown class or plan")
+	}
+	if (k.Effect == decide.Safe) == v.Write {
+		return errors.New("the class goes with the other command")
+	}
+	if v.limit = k.Deadline; v.limit <= 0 {
+		v.limit = waitMost
+	}
+	units := set.MaxUnits
+	if units == 0 {
+		units = unitsMost
+	}
+	switch {
+	case len(v.ID) == 0 || len(v.ID) > idMost:
+		return errors.New("the id is missing or too long")
+	case k.Effect == decide.Keyed && v.Key == "":
+		return errors.New("k is missing")
+	case len(v.Key) > keyMost:
+		return errors.New("k is too long")
+	case len(v.Body) > ValueMost:
+		return fmt.Errorf("the body is over %d bytes", ValueMost)
+	case v.Patience <= 0 || v.Patience >= v.limit+time.Millisecond: // whole milliseconds, so it may be rounded up
+		return errors.New("d is out of range")
+	case v.Units < 1 || v.Units > units:
+		return errors.New("units are out of range")
+	case v.Spread < 0 || v.Spread > set.Gateways, v.First < 0 || v.First >= set.Gateways:
+		return errors.New("the set is out of range")
+	}
+	return nil
+}
+
+// event is the request as the module is told of it, but for its bounds.
+func (r *request) event() decide.Request {
+	v := r.v
+	return decide.Request{ID: r.id, Class: v.Class, Plan: v.Plan, Customer: v.Customer, Units: v.Units,
+		Spread: v.Spread, First: v.First, Again: v.Again, Write: v.Write}
+}
+
+// Kind is how a request ended.
+type Kind int
+
+// The kinds of endings.
+const (
+	Served   Kind = iota + 1
+	Refused       // it never ran: trying again does no harm
+	Failed        // nothing is promised
+	Rejected      // the request itself can't be taken
+)
+
+// Ending is how a request ended for its client, in no protocol's words. A front makes its bytes of it.
+type Ending struct {
+	Kind  Kind
+	Value []byte        // of Served: as a node gave it
+	After time.Duration // of Refused: when to come again; 0: no advice
+	Quota bool          // of Refused: the customer's quota has no room
+	Late  bool          // of Failed: time was up
+	Taken bool          // of Rejected: a request with its id is open
+	Why   string        // of Failed and Rejected
+}
+
+// request is a client's request until its final answer is given and nothing of it is out.
+type request struct {
+	id       string // the module's; a client's own ids may come twice
+	n        uint64 // counts them
+	from     Asker
+	v        *Values
+	attempts []*attempt
+	overdue  *alarm
+	out      int          // attempts that have not ended
+	routes   *route.Table // the table that its route stands in; nil: it has none
+	route    int
+	done     bool
+}
+
+// ranOut reports whether a request that failed did so for want of time: its last attempt was still out, or timed out.
+func (r *request) ranOut() bool {
+	if len(r.attempts) == 0 {
+		return false
+	}
+	a := r.attempts[len(r.attempts)-1]
+	return !a.over || a.outcome == decide.TimedOut
+}
+
+// attempt is one try at one server.
+type attempt struct {
+	req       *request
+	n         int
+	server    *upstream // nil: unknown to this gateway
+	at, until time.Duration
+	expiry    *alarm
+	try       Try
+	placed    bool // its carrier has put it on a connection
+	whole     bool // the last byte may have been written
+	over      bool
+	outcome   decide.Outcome // once it is over
+}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -1,8 +1,7 @@
-package gateway
+package gateway_test
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,20 +10,14 @@
 	"testing"
 	"time"
 
-	"sloepick/internal/settings"
+	"sloepick/internal/gateway"
+	"sloepick/internal/resp"
 	"sloepick/internal/stand"
 )
 
 const (
 	patience = 20 * time.Second // for what must come; no test waits for it to pass
-	profile  = `{"Classes":[
- {"Name":"look","Effect":"safe","AimNs":%[1]d,"GiveUpNs":30000000000,"Importance":1},
- {"Name":"book","Effect":"keyed","Group":"cell","WindowNs":30000000000,"AimNs":%[1]d,"GiveUpNs":30000000000,"Importance":3}],
-"Extra":{"PeerIntake":40,"UnitsTop":8},"Instances":2,"Rank":0,"Zone":"a",
-"Limits":{"SendCap":5,"MayCancel":true,"ParallelTries":true,"Peers":true,"RetryAfter":true,"MaxRetryAfterNs":1000000000,
- "ConnectTimeoutNs":2000000000,"ConnIdleNs":60000000000,"OpenCap":1000},
-"Safety":{"ColdNs":5000000000,"FallNs":1000000000,"FallMultiple":4,"ColdFrom":0.2},
-"TiersOfService":[{"Name":"p","Refill":1000,"MostAtOnce":3000,"Pays":1}]}`
+	long     = 30 * time.Second // an aim that no test reaches
 )
 
 // backend is a server under a test's control: it hands over each command with its connection.
@@ -88,7 +81,7 @@
 }
 
 // newRegistry starts discovery with a list and tells its address.
-func newRegistry(t *testing.T, list serverList) (*registry, netip.AddrPort) {
+func newRegistry(t *testing.T, list gateway.ServerList) (*registry, netip.AddrPort) {
 	t.Helper()
 	d, err := stand.NewDiscovery(list.Version, list)
 	if err != nil {
@@ -98,58 +91,46 @@
 	return &registry{d, d.Calls}, d.Addr()
 }
 
-func (r *registry) set(list serverList) {
+func (r *registry) set(list gateway.ServerList) {
 	if err := r.Set(list.Version, list); err != nil {
 		panic(err)
 	}
 }
 
-func entries(state string, backends ...*backend) []serverEntry {
-	var all []serverEntry
+func entries(state string, backends ...*backend) []gateway.ServerEntry {
+	var all []gateway.ServerEntry
 	for i, b := range backends {
-		all = append(all, serverEntry{ID: fmt.Sprintf("s-%d", i), Addr: b.addr, Zone: "a", Cell: i, State: state, Weight: 1})
+		all = append(all, gateway.ServerEntry{ID: fmt.Sprintf("s-%d", i), Addr: b.addr, Zone: "a", Cell: i, State: state, Weight: 1})
 	}
 	return all
 }
 
-func testConfig(t *testing.T, aim time.Duration, servers []serverEntry) Config {
-	t.Helper()
-	set, err := settings.Parse(json.RawMessage(fmt.Sprintf(profile, aim.Nanoseconds())))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return Config{Name: "n0", Cores: 1, MemoryMB: 64, Sockets: 256, Settings: set, Seed: 1,
-		Known: serverList{Version: 1, Full: true, Servers: servers}}
-}
-
 // rig is a gateway at work.
 type rig struct {
 	addr  string
 	reg   *registry
-	moves chan Reload
+	moves chan gateway.Reload
 	stop  context.CancelFunc
 	done  chan error
 }
 
 func newRig(t *testing.T, aim time.Duration, backends ...*backend) *rig {
 	t.Helper()
-	return startRig(t, testConfig(t, aim, entries("up", backends...)))
+	return startRig(t, gateway.SmallConfig(t, aim, entries("up", backends...)))
 }
 
 // startRig starts a gateway with a configuration, but for its discovery.
-func startRig(t *testing.T, cfg Config) *rig {
+func startRig(t *testing.T, cfg gateway.Config) *rig {
 	t.Helper()
-	r := &rig{moves: make(chan Reload), done: make(chan error, 1)}
+	r := &rig{moves: make(chan gateway.Reload), done: make(chan error, 1)}
 	r.reg, cfg.Discovery = newRegistry(t, cfg.Known)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.addr = ln.Addr().String()
+	front := resp.NewFront(netip.MustParseAddrPort("127.0.0.1:0"))
+	cfg.Fronts, cfg.Back = []gateway.Front{front}, resp.Back{}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
-	go func() { r.done <- serve(ctx, cfg, r.moves, ln, slog.New(slog.DiscardHandler)) }()
+	go func() { r.done <- gateway.Run(ctx, cfg, r.moves, slog.New(slog.DiscardHandler)) }()
 	t.Cleanup(cancel)
+	r.addr = front.Addr().String()
 	return r
 }
 
@@ -215,9 +196,3 @@
 }
 
 func served(value string) string { return stand.Served(value) }
-
-// join gives the loop a new connection, as the listener does.
-func join(l *loop, c *client) {
-	l.ahead <- struct{}{}
-	joined{c}.apply(l)
-}
--- a/internal/gateway/route_test.go
+++ b/internal/gateway/route_test.go
@@ -1,4 +1,4 @@
-package gateway
+package gateway_test
 
 import (
 	"fmt"
@@ -10,6 +10,7 @@
 	"time"
 
 	"sloepick/decide"
+	"sloepick/internal/gateway"
 	"sloepick/internal/route"
 	"sloepick/internal/stand"
 	"sloepick/internal/tuning"
@@ -21,15 +22,15 @@
 )
 
 // routed is a gateway whose requests go by one route, held to the platform as at a start.
-func routed(t *testing.T, rt route.Route, servers []serverEntry) *rig {
+func routed(t *testing.T, rt route.Route, servers []gateway.ServerEntry) *rig {
 	t.Helper()
 	return routedWithin(t, long, rt, servers)
 }
 
 // routedWithin is such a gateway whose classes have an aim, from which the module guesses how long an answer takes.
-func routedWithin(t *testing.T, aim time.Duration, rt route.Route, servers []serverEntry) *rig {
+func routedWithin(t *testing.T, aim time.Duration, rt route.Route, servers []gateway.ServerEntry) *rig {
 	t.Helper()
-	cfg := testConfig(t, aim, servers)
+	cfg := gateway.SmallConfig(t, aim, servers)
 	rt.Name = "r"
 	cfg.Routes = []*route.Route{&rt}
 	if diags := cfg.Prove(cfg.Routes); len(diags) > 0 {
@@ -179,7 +180,7 @@
 		c.look("old")
 		x := b.asked(t)
 		taken, tune := make(chan struct{}), tuning.Default()
-		r.moves <- Reload{Discovery: r.reg.Addr(), Tuning: &tune, Routes: next, Taken: taken}
+		r.moves <- gateway.Reload{Discovery: r.reg.Addr(), Tuning: &tune, Routes: next, Taken: taken}
 		<-taken
 		x.answer(t, "-ERR failed\r\n")
 		b.asked(t).answer(t, served("again"))
@@ -203,7 +204,7 @@
 	var mu sync.Mutex
 	firsts, all := map[int]int{}, map[int]int{}
 	seen := map[string]bool{}
-	var servers []serverEntry
+	var servers []gateway.ServerEntry
 	for i := range 4 {
 		s, err := stand.NewScripted(func(conn net.Conn, args []string) {
 			if args == nil {
@@ -221,7 +222,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(s.Close)
-		servers = append(servers, serverEntry{ID: fmt.Sprintf("s-%d", i), Addr: s.Addr(), Zone: "a", Cell: i % 2, State: "up", Weight: 1})
+		servers = append(servers, gateway.ServerEntry{ID: fmt.Sprintf("s-%d", i), Addr: s.Addr(), Zone: "a", Cell: i % 2, State: "up", Weight: 1})
 	}
 	r := routed(t, route.Route{Attempts: 5, Again: failures, Budget: 0.2}, servers)
 	var wg sync.WaitGroup
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -1,15 +1,17 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
-	"net"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
+	"sloepick/decide"
 	"sloepick/internal/route"
 	"sloepick/internal/tuning"
 )
@@ -35,23 +37,13 @@
 // Run serves until the context ends; then it takes what still comes for a moment, answers all that it has
 // taken, and returns. What comes over reloads counts from then on.
 func Run(ctx context.Context, cfg Config, reloads <-chan Reload, log *slog.Logger) error {
-	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", cfg.Listen.String())
-	if err != nil {
-		return fmt.Errorf("listening for clients: %w", err)
-	}
-	defer ln.Close()
 	for _, f := range cfg.Fronts {
 		if err := f.Listen(ctx); err != nil {
 			return err
 		}
 		defer f.Close()
 	}
-	return serve(ctx, cfg, reloads, ln, log)
-}
-
-func serve(ctx context.Context, cfg Config, reloads <-chan Reload, ln net.Listener, log *slog.Logger) error {
-	l, err := newLoop(cfg, log)
+	l, err := newLoop(cfg, newClock(), log)
 	if err != nil {
 		return err
 	}
@@ -60,40 +52,55 @@
 	defer wg.Wait()
 	defer cancel()
 	if cfg.PeerListen.IsValid() {
-		if l.peers, err = openPeers(cfg.PeerListen, cfg.Peers); err != nil {
+		peers, err := openPeers(cfg.PeerListen, cfg.Peers)
+		if err != nil {
 			return err
 		}
-		defer l.peers.conn.Close()
-		wg.Go(func() { l.peers.read(l.in.post, log) })
+		l.peers = peers
+		defer peers.conn.Close()
+		wg.Go(func() { peers.read(l.peerMessage, log) })
 	}
 	moves := make(chan netip.AddrPort)
-	wg.Go(func() { takeReloads(inner, reloads, moves, l.in.post) })
-	wg.Go(func() { follow(inner, cfg.Discovery, moves, l.in.post, log) })
-	wg.Go(func() { acceptClients(inner, ln, l) })
+	wg.Go(func() { takeReloads(inner, reloads, moves, l) })
+	wg.Go(func() { follow(inner, cfg.Discovery, moves, l.news, log) })
 	for _, f := range cfg.Fronts {
-		wg.Go(func() { f.Serve(inner, &Door{l}) })
+		wg.Go(func() { f.Serve(inner, l.door) })
 	}
 	wg.Go(func() {
 		select {
 		case <-ctx.Done():
-			l.in.post(stop{ln})
+			l.in.post(l.stop)
 		case <-inner.Done():
 		}
 	})
 	l.run()
 	l.in.close()
-	if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("closing the listener: %w", err)
+	return l.closeFronts()
+}
+
+// peerMessage and news hand on what other goroutines were told.
+func (l *loop) peerMessage(from int, text string) {
+	l.in.post(func() { l.feed(decide.PeerMessage{From: from, Text: text}) })
+}
+
+func (l *loop) news(kind decide.FleetKind, list ServerList) {
+	l.in.post(func() { l.fleet(kind, list) })
+}
+
+// closeFronts has nothing new come.
+func (l *loop) closeFronts() (err error) {
+	for _, f := range l.cfg.Fronts {
+		err = errors.Join(err, f.Close())
 	}
-	return nil
+	return err
 }
 
 // takeReloads hands reloads on until the context ends.
-func takeReloads(ctx context.Context, reloads <-chan Reload, moves chan<- netip.AddrPort, post func(event)) {
+func takeReloads(ctx context.Context, reloads <-chan Reload, moves chan<- netip.AddrPort, l *loop) {
 	for {
 		select {
 		case r := <-reloads:
-			post(retuned{r.Tuning, r.Routes, r.Taken})
+			l.in.post(func() { l.retune(r) })
 			select {
 			case moves <- r.Discovery:
 			case <-ctx.Done():
@@ -105,46 +112,45 @@
 	}
 }
 
-// retuned brings other values for what operators may set. Open connections go by them from their next command on.
-type retuned struct {
-	t      *tuning.Tuning // nil: as it was
-	routes []*route.Route
-	taken  chan<- struct{}
-}
-
-func (r retuned) apply(l *loop) {
-	if r.t != nil {
-		l.tune.Store(r.t)
+// retune takes other values for what operators may set. Open connections go by them from their next command on.
+func (l *loop) retune(r Reload) {
+	if r.Tuning != nil {
+		l.tune.Store(r.Tuning)
 		l.pool.retune()
-		l.reroute(r.routes)
+		l.reroute(r.Routes)
 	}
-	if r.taken != nil {
-		close(r.taken)
+	if r.Taken != nil {
+		close(r.Taken)
 	}
 }
 
 // stop begins the end of the gateway.
-type stop struct{ ln net.Listener }
-
-func (s stop) apply(l *loop) {
-	now := l.clock.now()
+func (l *loop) stop() {
+	now := l.clock.Now()
 	l.log.Info("stopping", "open", len(l.requests))
 	t := l.tune.Load().Stop
 	l.at(now+t.Accept, func() {
-		s.ln.Close()
+		if err := l.closeFronts(); err != nil {
+			l.log.Warn("closing a listener", "err", err)
+		}
 		l.closing = true
 		close(l.closed)
-		for c := range l.clients {
+		for _, c := range l.connections() {
 			c.Wean()
 		}
 	})
 	l.at(now+max(t.Longest, l.longestWait()+t.Accept+t.LastCall), func() {
-		for c := range l.clients {
+		for _, c := range l.connections() {
 			c.Close()
 		}
 	})
 }
 
+// connections are the clients', in the order in which they came.
+func (l *loop) connections() []Conn {
+	return slices.SortedFunc(maps.Keys(l.clients), func(a, b Conn) int { return cmp.Compare(l.clients[a], l.clients[b]) })
+}
+
 // longestWait is how long a client may wait for an answer.
 func (l *loop) longestWait() (longest time.Duration) {
 	for _, k := range l.cfg.Settings.Decide.Classes {
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sloepick/decide"
+	"sloepick/internal/stand"
 )
 
 // A watch that is silent is given up and made again, and the next call goes on from the version last told.
@@ -42,10 +43,14 @@
 	defer web.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	news := make(chan fleetNews, 16)
-	w := newWatcher(netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://")), func(e event) {
+	type told struct {
+		kind decide.FleetKind
+		list ServerList
+	}
+	news := make(chan told, 16)
+	w := newWatcher(netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://")), func(kind decide.FleetKind, list ServerList) {
 		select {
-		case news <- e.(fleetNews):
+		case news <- told{kind, list}:
 		default: // the last case goes on answering
 		}
 	}, slog.New(slog.DiscardHandler))
@@ -84,8 +89,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got := make(chan event, 4)
-	go p.read(func(e event) { got <- e }, slog.New(slog.DiscardHandler))
+	type datagram struct {
+		from int
+		text string
+	}
+	got := make(chan datagram, 4)
+	go p.read(func(from int, text string) { got <- datagram{from, text} }, slog.New(slog.DiscardHandler))
 	defer p.conn.Close()
 	for _, m := range []struct {
 		from *net.UDPConn
@@ -95,10 +104,10 @@
 			t.Fatal(err)
 		}
 	}
-	if d := (<-got).(datagram); d.from != 1 || d.text != strings.Repeat("y", datagramMost) {
+	if d := <-got; d.from != 1 || d.text != strings.Repeat("y", datagramMost) {
 		t.Errorf("got %d bytes from %d", len(d.text), d.from)
 	}
-	if err := p.tell(1, "hello"); err != nil {
+	if err := p.Tell(1, "hello"); err != nil {
 		t.Fatal(err)
 	}
 	buf := make([]byte, 16)
@@ -106,59 +115,21 @@
 		t.Errorf("the peer got %q from %v, %v", buf[:n], from, err)
 	}
 	for _, to := range []int{-1, 2} {
-		if p.tell(to, "x") == nil {
+		if p.Tell(to, "x") == nil {
 			t.Errorf("a message to gateway %d was sent", to)
 		}
 	}
-	if p.tell(1, strings.Repeat("x", datagramMost+1)) == nil {
+	if p.Tell(1, strings.Repeat("x", datagramMost+1)) == nil {
 		t.Error("a message that is too long was sent")
 	}
 }
 
-// TestStopTellsPeers guards against customers who have but their even parts at the others for as long as a restart
-// takes: the last thing that a stopping gateway does is to tell its peers.
-func TestStopTellsPeers(t *testing.T) {
-	local := netip.MustParseAddrPort("127.0.0.1:0")
-	peer, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer peer.Close()
-	if err := peer.SetReadDeadline(time.Now().Add(patience)); err != nil {
-		t.Fatal(err)
-	}
-	cfg := testConfig(t, time.Second, nil)
-	cfg.PeerListen = local
-	cfg.Peers = []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), peer.LocalAddr().(*net.UDPAddr).AddrPort()}
-	r := startRig(t, cfg)
-	buf, leaves := make([]byte, datagramMost), 0
-	next := func() string {
-		n, err := peer.Read(buf)
-		if err != nil {
-			t.Fatalf("after %d words that it leaves: %v", leaves, err)
-		}
-		return string(buf[:n])
-	}
-	if m := next(); m[0] != 'e' {
-		t.Errorf("a gateway at work told %q", m)
-	}
-	r.stop()
-	for leaves < 3 {
-		if m := next(); m[0] == 'x' {
-			leaves++
-		}
-	}
-	if err := <-r.done; err != nil {
-		t.Error(err)
-	}
-}
-
 // What a peer sends must never stop the module.
 func TestGarbageFromPeers(t *testing.T) {
-	l := still(t, unreachable(t))
+	l, _ := still(t, 1)
 	before := l.core
 	for _, s := range []string{"", "e", "e0000", "x0000", "x", "x0000" + strings.Repeat("0", 13), "ezzzz!", "e0000ABC", "e0000" + strings.Repeat("_", 13), strings.Repeat("\xff", 256)} {
-		datagram{1, s}.apply(l)
+		l.feed(decide.PeerMessage{From: 1, Text: s})
 		l.drainTodo()
 	}
 	if l.core != before {
@@ -174,7 +145,7 @@
 func TestLoadConfig(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	load := func(text string) (Config, error) {
-		text = strings.Replace(text, "SETTINGS", fmt.Sprintf(profile, 5), 1)
+		text = strings.Replace(text, "SETTINGS", string(stand.Profile(5)), 1)
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -215,3 +186,28 @@
 		}
 	}
 }
+
+// What counts at a reload is the file: the environment of a running process can't change, and GW_DISCOVERY
+// would hold the gateway to its first address.
+func TestReloadReadsTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": "127.0.0.9:1"}
+	write := func(text string) {
+		text = strings.Replace(text, "SETTINGS", string(stand.Profile(5)), 1)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	getenv := func(name string) string { return env[name] }
+	write(sample)
+	if c, err := LoadConfig(getenv); err != nil || c.Discovery.String() != "127.0.0.9:1" {
+		t.Errorf("at the start: %v, %v", c.Discovery, err)
+	}
+	if addr, err := LoadDiscovery(getenv); err != nil || addr.String() != "127.0.0.1:8500" {
+		t.Errorf("at a reload: %v, %v", addr, err)
+	}
+	write(`{"name"`)
+	if _, err := LoadDiscovery(getenv); err == nil {
+		t.Error("a broken file passes")
+	}
+}
--- a/internal/gateway/use.go
+++ b/internal/gateway/use.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
+	"strings"
 )
 
 // use is what a node tells of a request beside its value. The zero value tells nothing.
@@ -39,7 +41,7 @@
 			}
 			u.metered = int(n)
 		case string(name) == "units":
-			v, err := number(string(value))
+			v, err := Number(string(value))
 			if err != nil || v <= 0 || v > units || u.units > 0 {
 				return use{}
 			}
@@ -54,3 +56,19 @@
 	}
 	return u
 }
+
+const numberMost = 1 << 20 // of any number of a request's or a node's: larger ones are beyond all settings
+
+var errNumber = errors.New("not a plain number, or out of range")
+
+// Number reads plain digits, with a point at most: no sign, exponent or word such as 'inf'.
+func Number(s string) (float64, error) {
+	if strings.Trim(s, "0123456789.") != "" {
+		return 0, errNumber
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err == nil && v > numberMost {
+		err = errNumber
+	}
+	return v, err
+}
--- a/internal/gateway/use_test.go
+++ b/internal/gateway/use_test.go
@@ -8,7 +8,7 @@
 
 // TestFiguresAreReadStrictly: what a node tells settles buckets, so what can't be meant must tell nothing.
 func TestFiguresAreReadStrictly(t *testing.T) {
-	cfg := testConfig(t, long, nil) // units of 8 at the most
+	cfg := SmallConfig(t, time.Second, nil) // units of 8 at the most
 	cfg.Settings.Decide.SettledLater, cfg.Settings.Decide.MeterPeriod = true, time.Second
 	for figures, want := range map[string]use{
 		"used=86,units=3":        {86, 3},
--- a/internal/h2/back.go
+++ b/internal/h2/back.go
@@ -155,6 +155,28 @@
 	}
 }
 
+// Idle implements gateway.Carrier.
+func (n *node) Idle() (since time.Duration, any bool) {
+	c := n.idlest()
+	if c == nil {
+		return 0, false
+	}
+	return c.used, true
+}
+
+// Evict implements gateway.Carrier.
+func (n *node) Evict() { n.idlest().end() }
+
+// idlest is the connection on which nothing has been open for longest; nil: there is none.
+func (n *node) idlest() (idlest *nodeConn) {
+	for _, c := range n.conns {
+		if len(c.tries) == 0 && c.clear() && (idlest == nil || c.used < idlest.used) {
+			idlest = c
+		}
+	}
+	return idlest
+}
+
 // nodeConn is a connection to a node.
 type nodeConn struct {
 	n      *node
@@ -179,7 +201,7 @@
 // send puts a try on the connection.
 func (c *nodeConn) send(t *gateway.Try) {
 	v := t.Values()
-	stream, ok := c.wire.Ask(askFields(&v, t.Left()), v.Body)
+	stream, ok := c.wire.Ask(askFields(v, t.Left()), v.Body)
 	if !ok { // free has seen room
 		t.Ended(gateway.NoRoom)
 		return
--- a/internal/h2/front.go
+++ b/internal/h2/front.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -30,15 +29,14 @@
 
 // Front serves a listener.
 type Front struct {
-	l     Listener
-	ln    net.Listener
-	ready chan struct{} // closed when ln is there
-	tls   *identity     // nil: plain TCP
+	gateway.Listener
+	l   Listener
+	tls *identity // nil: plain TCP
 }
 
 // NewFront makes a front that does not listen yet. It reads the files of its identity.
 func NewFront(l Listener) (f *Front, err error) {
-	f = &Front{l: l, ready: make(chan struct{})}
+	f = &Front{Listener: gateway.NewListener("listener "+l.Name, l.Address), l: l}
 	if l.Files != nil {
 		if f.tls, err = newIdentity(*l.Files); err != nil {
 			return nil, fmt.Errorf("listener %s: %w", l.Name, err)
@@ -47,22 +45,6 @@
 	return f, nil
 }
 
-// Listen opens the listener.
-func (f *Front) Listen(ctx context.Context) (err error) {
-	var lc net.ListenConfig
-	if f.ln, err = lc.Listen(ctx, "tcp", f.l.Address); err != nil {
-		return fmt.Errorf("listener %s: %w", f.l.Name, err)
-	}
-	close(f.ready)
-	return nil
-}
-
-// Addr is where it listens. It waits until it does.
-func (f *Front) Addr() net.Addr {
-	<-f.ready
-	return f.ln.Addr()
-}
-
 // Reload reads the files of its identity again. New connections go by them once take is called; if they can't be used,
 // nothing changes.
 func (f *Front) Reload() (take func(), err error) {
@@ -76,27 +58,9 @@
 	return func() { f.tls.now.Store(next) }, nil
 }
 
-// Close ends the listener.
-func (f *Front) Close() error {
-	if err := f.ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("listener %s: %w", f.l.Name, err)
-	}
-	return nil
-}
-
-// Serve takes connections until the gateway closes.
+// Serve implements gateway.Front.
 func (f *Front) Serve(ctx context.Context, d *gateway.Door) {
-	stopped := make(chan struct{})
-	defer close(stopped)
-	go func() {
-		select {
-		case <-d.Closing():
-		case <-ctx.Done():
-		case <-stopped:
-		}
-		f.ln.Close()
-	}()
-	d.Accept(ctx, f.ln, func(nc net.Conn) { f.take(d, nc) })
+	f.Accept(ctx, d, func(nc net.Conn) { f.take(d, nc) })
 }
 
 // take begins a connection, in the loop.
@@ -152,7 +116,7 @@
 	c      *conn
 	stream uint32
 	v      *gateway.Values
-	ticket *gateway.Ticket
+	ticket gateway.Ticket
 	over   bool
 }
 
@@ -236,7 +200,7 @@
 func (c *conn) forget(a *ask) {
 	delete(c.asks, a.stream)
 	a.over = true
-	if a.ticket != nil {
+	if a.ticket.Open() {
 		c.d.Abandon(a.ticket)
 	}
 }
--- a/internal/h2/front_test.go
+++ b/internal/h2/front_test.go
@@ -28,6 +28,7 @@
 	"golang.org/x/net/http2"
 
 	"sloepick/internal/gateway"
+	"sloepick/internal/resp"
 	"sloepick/internal/stand"
 	"sloepick/internal/stand/seeds"
 	"sloepick/internal/tuning"
@@ -40,7 +41,7 @@
 
 // rig is a gateway in this process, with RESP2's listener and one of HTTP/2, and a site of nodes.
 type rig struct {
-	t     *testing.T
+	t     testing.TB
 	site  *stand.Site
 	resp  string
 	front *Front
@@ -68,7 +69,7 @@
 	return newRigOf(t, p, 2, change)
 }
 
-func newRigOf(t *testing.T, p *stand.Platform, nodes int, change func(*gateway.Config, *Listener)) *rig {
+func newRigOf(t testing.TB, p *stand.Platform, nodes int, change func(*gateway.Config, *Listener)) *rig {
 	t.Helper()
 	r := &rig{t: t, done: make(chan error, 1)}
 	var err error
@@ -111,7 +112,7 @@
 	if r.front, err = NewFront(r.l); err != nil {
 		r.t.Fatal(err)
 	}
-	r.cfg.Fronts = []gateway.Front{r.front}
+	r.cfg.Fronts, r.cfg.Back = []gateway.Front{resp.NewFront(r.cfg.Listen), r.front}, resp.Back{}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
 	go func() { r.done <- gateway.Run(ctx, r.cfg, nil, slog.New(slog.DiscardHandler)) }()
--- a/internal/h2/mapping.go
+++ b/internal/h2/mapping.go
@@ -98,9 +98,22 @@
 			return nil, bad("%s is missing", name)
 		}
 	}
+	if !listWord(v.Class) || !listWord(v.Plan) || !listWord(v.Key) {
+		return nil, bad("a value holds a comma, a space or what is not printable")
+	}
 	return v, nil
 }
 
+// listWord reports that a value can stand in the list of names and values that RESP2's nodes are sent.
+func listWord(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] == ',' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 // fields take a request's fields. They report false for what can't be used.
 var fields = map[string]func(v *gateway.Values, s string) bool{
 	fieldCustomer: func(v *gateway.Values, s string) bool { v.Customer = s; return s != "" },
--- /dev/null
+++ b/internal/resp/back.go
@@ -0,0 +1,317 @@
+package resp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"sloepick/internal/gateway"
+)
+
+const readFirst = 1 << 10 // bytes of a connection's first read buffer
+
+// Back reaches nodes: an attempt is a command on a connection that carries nothing else meanwhile.
+type Back struct{}
+
+// Node implements gateway.Back.
+func (Back) Node(d *gateway.Door, p *gateway.Place) gateway.Carrier { return &node{d: d, place: p} }
+
+// node is a node at an address. All of it is the loop's.
+type node struct {
+	d        *gateway.Door
+	place    *gateway.Place
+	idle     []*conn // the last used last: it is the least likely to have been closed
+	retired  int     // counts; a connection from before the last one takes nothing new
+	sweeping bool
+}
+
+// conn is a connection to a node. It carries one attempt at a time, as giving an attempt up closes it.
+type conn struct {
+	n       *node
+	nc      net.Conn
+	out     *gateway.Outlet
+	retired int                // the node's, when it was asked for
+	try     *gateway.Try       // whose answer is owed
+	whole   bool               // the last byte of it was handed over
+	asked   chan time.Duration // tells the reader that an answer is owed, and how long one may take once it has begun
+	used    time.Duration
+	closed  bool
+}
+
+// Start implements gateway.Carrier: on an idle connection, or on a new one.
+func (n *node) Start(t *gateway.Try) {
+	for c := n.rested(); c != nil; c = n.rested() {
+		if c.write(t) {
+			return
+		}
+	}
+	if !n.place.Take() {
+		t.Ended(gateway.NoRoom)
+		return
+	}
+	n.dial(t)
+}
+
+// rested takes the idle connection that was used last, of those that have stood for a while. What a server sends
+// right behind an answer, such as a second copy, is on its way as long as the answer was, give or take the network's
+// jitter. A connection that has stood for this long with nothing in the kernel is in step; one that is used sooner
+// might bring the next request another one's answer.
+func (n *node) rested() *conn {
+	by := n.d.Now() - n.d.Tuning().Nodes.Rest
+	for i := len(n.idle) - 1; i >= 0; i-- {
+		if c := n.idle[i]; c.used <= by {
+			n.idle = slices.Delete(n.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+func (n *node) dial(t *gateway.Try) {
+	within, addr, retired := min(n.place.ConnectTimeout(), t.Left()), n.place.Addr(), n.retired
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), within)
+		defer cancel()
+		d := net.Dialer{KeepAlive: -1}
+		nc, err := d.DialContext(ctx, "tcp", addr)
+		n.d.Post(func() { n.dialed(t, retired, nc, err) })
+	}()
+}
+
+// dialed looks again before the first byte: while the connection was made the attempt may have been called
+// off or its request answered, and its server may have been drained or moved. Without this a request would
+// go out after its final answer, or to a server that was told to be let alone.
+func (n *node) dialed(t *gateway.Try, retired int, nc net.Conn, err error) {
+	if err != nil {
+		n.place.Give()
+		fate := gateway.NeverLeft
+		if gateway.LocalFault(err) {
+			fate = gateway.NoRoom
+		}
+		t.Ended(fate)
+		return
+	}
+	c := newConn(n, nc, retired)
+	go c.read()
+	if retired != n.retired {
+		c.close()
+		t.Ended(gateway.NeverLeft)
+		return
+	}
+	if !t.Wanted() {
+		c.park()
+		return
+	}
+	if !c.write(t) {
+		t.Ended(gateway.NeverLeft)
+	}
+}
+
+func newConn(n *node, nc net.Conn, retired int) *conn {
+	return &conn{n: n, nc: nc, out: gateway.NewOutlet(nc), retired: retired, used: n.d.Now(), asked: make(chan time.Duration, 1)}
+}
+
+// GiveUp implements gateway.Carrier.
+func (n *node) GiveUp(t *gateway.Try) {
+	if c, ok := t.Own.(*conn); ok {
+		c.close() // an answer is owed on it, so it can't be used again
+	}
+}
+
+// Retire implements gateway.Carrier.
+func (n *node) Retire() {
+	n.retired++
+	for len(n.idle) > 0 {
+		n.idle[len(n.idle)-1].close()
+	}
+}
+
+// Idle implements gateway.Carrier.
+func (n *node) Idle() (since time.Duration, any bool) {
+	if len(n.idle) == 0 {
+		return 0, false
+	}
+	return n.idle[0].used, true
+}
+
+// Evict implements gateway.Carrier.
+func (n *node) Evict() { n.idle[0].close() }
+
+// sweep retires connections well before the server may close them: a request written to one that is being
+// closed would end as a reset, which for a request that must not run twice is the end.
+func (n *node) sweep() {
+	idleFor := n.place.IdleTimeout()
+	for now := n.d.Now(); len(n.idle) > 0 && n.idle[0].used+idleFor <= now; {
+		n.idle[0].close()
+	}
+	if n.sweeping = len(n.idle) > 0; n.sweeping {
+		n.d.At(n.idle[0].used+idleFor, n.sweep)
+	}
+}
+
+// write sends an attempt on a connection. It reports false if the connection took nothing of it, so that
+// another may be tried: nothing has reached the server. A connection on which something waits unasked is out
+// of step, or at its end, and takes nothing.
+func (c *conn) write(t *gateway.Try) bool {
+	if !c.out.Quiet() {
+		c.close()
+		return false
+	}
+	b := commandOf(t.Values()).frame(t.Left())
+	n, err := c.out.Try(b)
+	if err != nil {
+		c.close()
+		if n > 0 {
+			t.Ended(gateway.NeverLeft) // broken before the last byte
+		}
+		return n > 0
+	}
+	c.try, c.whole, c.used = t, false, c.n.d.Now()
+	t.Own = c
+	t.Placed()
+	c.asked <- c.n.d.Tuning().Nodes.Answer // the reader has taken the one before
+	if n == len(b) {
+		c.whole = true
+		t.Whole()
+		return true
+	}
+	c.out.Finish(b[n:], t.Left(), c.n.d, func(err error) { c.sent(t, err) })
+	return true
+}
+
+// sent takes how the writing of a large request ended.
+func (c *conn) sent(t *gateway.Try, err error) {
+	if err == nil {
+		c.whole = true
+		t.Whole()
+	}
+	if err == nil && !c.closed {
+		return
+	}
+	c.close()
+	t.Ended(gateway.Broke)
+}
+
+// park keeps a connection for the next attempt.
+func (c *conn) park() {
+	n := c.n
+	if c.closed || c.out.Busy() || c.retired != n.retired || n.place.Over() {
+		c.close()
+		return
+	}
+	c.used = n.d.Now()
+	n.idle = append(n.idle, c)
+	if idleFor := n.place.IdleTimeout(); !n.sweeping && idleFor > 0 {
+		n.sweeping = true
+		n.d.At(c.used+idleFor, n.sweep)
+	}
+}
+
+func (c *conn) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.nc.Close()
+	close(c.asked)
+	if i := slices.Index(c.n.idle, c); i >= 0 {
+		c.n.idle = slices.Delete(c.n.idle, i, i+1)
+	}
+	c.n.place.Give()
+}
+
+// answered takes a server's whole answer.
+func (c *conn) answered(a answer) {
+	if c.closed {
+		return
+	}
+	t := c.try
+	if t == nil || !c.whole { // nobody asked, or not all of it: what a server says to that is no answer
+		c.broke(false)
+		return
+	}
+	c.try = nil
+	if a.inStep {
+		c.park()
+	} else {
+		c.close()
+	}
+	if a.fate != 0 {
+		t.Ended(a.fate)
+		return
+	}
+	t.Served(a.value, a.figures)
+}
+
+// broke takes that a connection ended, or carried what is no answer.
+func (c *conn) broke(spoilt bool) {
+	if c.closed {
+		return
+	}
+	c.close()
+	switch t := c.try; {
+	case t == nil || c.out.Busy(): // the writer still has to tell whether it had written the last byte
+	case spoilt && c.whole:
+		t.Ended(gateway.Unusable) // the server answered, so the request may have run
+	default:
+		t.Ended(gateway.Broke)
+	}
+}
+
+// read hands on one answer for each request that is written, until the connection ends or carries what is no
+// answer. In between it reads nothing: what comes unasked stays in the kernel, where write finds it. If it were
+// read here, a copy in the reader's hands could meet the next request and pass for its answer.
+func (c *conn) read() {
+	buf := make([]byte, 0, readFirst)
+	for within := range c.asked {
+		a, err := c.readAnswer(&buf, within)
+		if err != nil {
+			c.n.d.Post(func() { c.broke(errors.Is(err, errSpoilt)) })
+			return
+		}
+		c.n.d.Post(func() { c.answered(a) })
+		if !a.inStep {
+			return // the loop closes it
+		}
+		if buf = buf[:0]; cap(buf) > readFirst {
+			buf = make([]byte, 0, readFirst)
+		}
+	}
+}
+
+// readAnswer reads one. A server writes an answer in one go: one that has begun and is not whole within the time
+// trickles, and the request has better uses for the time that is left to it.
+func (c *conn) readAnswer(buf *[]byte, within time.Duration) (answer, error) {
+	b := *buf
+	for begun := false; ; {
+		if len(b) == cap(b) {
+			b = slices.Grow(b, cap(b))
+		}
+		n, err := c.nc.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		*buf = b
+		a, used, fault := parseAnswer(b)
+		switch {
+		case fault != nil, errors.Is(err, os.ErrDeadlineExceeded):
+			return a, errSpoilt
+		case used > 0:
+			a.value, a.figures = bytes.Clone(a.value), bytes.Clone(a.figures)
+			a.inStep = a.inStep && used == len(b) && err == nil
+			if begun {
+				err = c.nc.SetReadDeadline(time.Time{})
+			}
+			return a, err
+		case err != nil:
+			return a, err
+		case !begun:
+			begun = true
+			if err := c.nc.SetReadDeadline(time.Now().Add(within)); err != nil {
+				return a, err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/resp/front.go
@@ -0,0 +1,236 @@
+package resp
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"sloepick/internal/gateway"
+)
+
+const clientBuffer = 1 << 10 // bytes of a connection's read buffer between commands
+
+// Front serves clients at an address.
+type Front struct{ gateway.Listener }
+
+// NewFront makes a front that does not listen yet.
+func NewFront(addr netip.AddrPort) *Front {
+	return &Front{gateway.NewListener("listening for clients", addr.String())}
+}
+
+// Serve implements gateway.Front.
+func (f *Front) Serve(ctx context.Context, d *gateway.Door) {
+	f.Accept(ctx, d, func(nc net.Conn) { take(d, nc) })
+}
+
+// take begins a connection, in the loop.
+func take(d *gateway.Door, nc net.Conn) *client {
+	c := newClient(d, nc)
+	if !d.Admit(c) {
+		nc.Close() // unread: the client sends what it may have written once more, elsewhere
+		return nil
+	}
+	r := reader{c: c}
+	go r.run()
+	return c
+}
+
+// slot holds the place of an answer among those of its connection.
+type slot struct {
+	client *client
+	ticket gateway.Ticket // of a request that is open
+	end    gateway.Ending
+	reply  []byte // in place of an ending: it needed no decision
+	ready  bool
+}
+
+// Ended implements gateway.Asker: it fills the slot and writes what is next in order.
+func (s *slot) Ended(e gateway.Ending) {
+	s.ticket, s.end, s.ready = gateway.Ticket{}, e, true
+	s.client.flush()
+}
+
+func (s *slot) append(b []byte) []byte {
+	if s.reply != nil {
+		return append(b, s.reply...)
+	}
+	return appendEnding(b, &s.end)
+}
+
+// appendEnding is an ending as RESP2 has it.
+func appendEnding(b []byte, e *gateway.Ending) []byte {
+	switch e.Kind {
+	case gateway.Served:
+		return redcon.AppendBulk(b, e.Value)
+	case gateway.Refused:
+		b = append(b, "-BUSY"...)
+		if e.After > 0 {
+			ms := (e.After + time.Millisecond - 1) / time.Millisecond
+			b = strconv.AppendInt(append(b, ' '), int64(ms), 10)
+		}
+		return append(b, "\r\n"...)
+	}
+	return redcon.AppendError(b, "ERR "+e.Why)
+}
+
+// client is a connection of a client. What is not atomic is the loop's.
+type client struct {
+	d       *gateway.Door
+	conn    net.Conn
+	out     *gateway.Outlet
+	slots   []*slot // in the order of the commands
+	backlog []byte  // answers behind those that are being written
+	used    time.Duration
+	owed    atomic.Int32 // answers that the reader counts on the loop to give
+	// owedMost is the bound by which the reader waits; it takes a new one with each read.
+	owedMost atomic.Int32
+	resume   chan struct{}
+	weaned   atomic.Bool // no further command is waited for
+	ending   bool        // to be closed once all is answered
+	read     bool        // nothing more is read from it
+	closed   bool
+}
+
+func newClient(d *gateway.Door, nc net.Conn) *client {
+	return &client{d: d, conn: nc, out: gateway.NewOutlet(nc), used: d.Now(), resume: make(chan struct{}, 1)}
+}
+
+// received is one command as the reader found it: a request, or an answer that needs no decision.
+type received struct {
+	cmd   *command
+	reply []byte
+}
+
+// commands are what a client sent, for the loop.
+type commands struct {
+	got   []received
+	last  bool // nothing more is read from it
+	fault bool // it sent what can't be read
+}
+
+func (c *client) take(e commands) {
+	if c.closed {
+		return
+	}
+	for _, r := range e.got {
+		s := &slot{client: c}
+		c.slots = append(c.slots, s)
+		if r.cmd == nil {
+			s.reply, s.ready = r.reply, true
+		} else if t := c.d.Ask(s, &r.cmd.Values); !s.ready {
+			s.ticket = t
+		}
+		c.d.Decide()
+	}
+	if len(e.got) > 0 {
+		c.flush()
+	}
+	if e.last {
+		c.ending, c.read = true, true
+		c.endIfDone()
+	}
+	if e.fault && !c.closed {
+		c.d.At(c.d.Now()+c.d.Tuning().Clients.Fault, c.Close)
+	}
+}
+
+// Quiet reports that nothing is owed on the connection.
+func (c *client) Quiet() bool { return len(c.slots) == 0 && !c.out.Busy() && !c.ending }
+
+// Used is when it was last answered, or came.
+func (c *client) Used() time.Duration { return c.used }
+
+// Wean ends it between requests: its reader stops once nothing more waits in the kernel, and when what
+// it had read is answered the connection is closed. Closing at once would lose a request that has come.
+func (c *client) Wean() {
+	c.ending = true
+	c.weaned.Store(true)
+	if err := c.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		c.Close() // already broken
+	}
+}
+
+// flush writes the answers that are next in order, in one write.
+func (c *client) flush() {
+	n := 0
+	for n < len(c.slots) && c.slots[n].ready {
+		c.backlog = c.slots[n].append(c.backlog)
+		n++
+	}
+	if n > 0 {
+		c.slots = slices.Delete(c.slots, 0, n)
+		c.used = c.d.Now()
+		if before := c.owed.Add(int32(-n)) + int32(n); before >= c.owedMost.Load() {
+			select {
+			case c.resume <- struct{}{}:
+			default:
+			}
+		}
+	}
+	c.push()
+	c.endIfDone()
+}
+
+// push writes the backlog, unless an earlier write is still going on.
+func (c *client) push() {
+	if c.closed {
+		c.backlog = nil
+		return
+	}
+	if len(c.backlog) > c.d.Tuning().Clients.Unread {
+		c.Close()
+		return
+	}
+	if c.out.Busy() || len(c.backlog) == 0 {
+		return
+	}
+	n, err := c.out.Try(c.backlog)
+	if err != nil {
+		c.Close()
+		return
+	}
+	if n == len(c.backlog) {
+		c.backlog = c.backlog[:0]
+		return
+	}
+	rest := c.backlog[n:]
+	c.backlog = nil
+	c.out.Finish(rest, c.d.Tuning().Clients.Write, c.d, func(err error) {
+		if err != nil {
+			c.Close()
+			return
+		}
+		c.push()
+		c.endIfDone()
+	})
+}
+
+// endIfDone closes a connection whose reader has stopped and on which nothing is owed.
+func (c *client) endIfDone() {
+	if c.read && !c.closed && len(c.slots) == 0 && !c.out.Busy() && len(c.backlog) == 0 {
+		c.Close()
+	}
+}
+
+// Close ends a connection. What was open on it is over: no one waits for it any more.
+func (c *client) Close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.conn.Close()
+	close(c.resume)
+	c.d.Gone(c)
+	for _, s := range c.slots {
+		if s.ticket.Open() {
+			c.d.Abandon(s.ticket)
+		}
+	}
+	c.slots, c.backlog = nil, nil
+}
--- a/internal/gateway/reader.go
+++ b/internal/resp/reader.go
@@ -1,4 +1,4 @@
-package gateway
+package resp
 
 import (
 	"bytes"
@@ -6,21 +6,14 @@
 	"os"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/redcon"
-
-	"sloepick/internal/tuning"
 )
 
 // reader reads the commands of one connection and hands them to the loop. It runs in a goroutine of its own.
 type reader struct {
 	c     *client
-	cfg   *Config
-	clock clock
-	tune  *atomic.Pointer[tuning.Tuning] // as the loop has it now
-	post  func(event)
 	buf   []byte    // of a command that is not whole yet
 	args  [][]byte  // memory for the next command's
 	since time.Time // the start, the last whole command, or the first byte of the one in buf
@@ -34,7 +27,7 @@
 	for {
 		by := r.deadline()
 		err := r.c.conn.SetReadDeadline(by)
-		if r.c.weaned.Load() && len(r.buf) == 0 && r.c.quiet() { // wean sets its mark before its deadline
+		if r.c.weaned.Load() && len(r.buf) == 0 && r.c.out.Quiet() { // wean sets its mark before its deadline
 			r.hand(commands{last: true})
 			return
 		}
@@ -47,7 +40,7 @@
 			r.refuse(err, true)
 			return
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			r.post(left{r.c})
+			r.c.d.Post(r.c.Close)
 			return
 		case time.Now().Before(by): // woken to be weaned
 		case len(r.buf) == 0 && r.c.owed.Load() > 0: // it waits for answers
@@ -67,7 +60,7 @@
 // deadline bounds how long a connection may hold a descriptor and give nothing for it. Clients write a command in one
 // go; those that keep a connection use it again within seconds, or have left it for good.
 func (r *reader) deadline() time.Time {
-	limits := &r.tune.Load().Clients
+	limits := &r.c.d.Tuning().Clients
 	if r.heard && len(r.buf) == 0 {
 		return r.since.Add(limits.Idle)
 	}
@@ -106,7 +99,7 @@
 		if n, r.args, err = nextCommand(r.buf[used:], r.args); n == 0 {
 			break
 		}
-		got = append(got, interpret(r.cfg, r.args, r.clock.now()))
+		got = append(got, interpret(r.args, r.c.d.Now()))
 		used += n
 	}
 	return got, used, err
@@ -123,11 +116,10 @@
 	if len(e.got) == 0 && !e.last {
 		return
 	}
-	e.c = r.c
-	most := int32(r.tune.Load().Clients.Pipeline)
+	most := int32(r.c.d.Tuning().Clients.Pipeline)
 	r.c.owedMost.Store(most) // before the answers are owed, so that the loop wakes by the same bound
 	owed := r.c.owed.Add(int32(len(e.got)))
-	r.post(e)
+	r.c.d.Post(func() { r.c.take(e) })
 	for ; owed >= most && !e.last; owed = r.c.owed.Load() {
 		if _, open := <-r.c.resume; !open {
 			break
@@ -136,14 +128,14 @@
 }
 
 // interpret turns a command into a request, or into its answer.
-func interpret(cfg *Config, args [][]byte, now time.Duration) received {
+func interpret(args [][]byte, now time.Duration) received {
 	if len(args) == 0 {
 		return received{reply: redcon.AppendError(nil, "ERR empty command")}
 	}
 	name := strings.ToUpper(string(args[0][:min(len(args[0]), 16)]))
 	switch name {
-	case "Q.ASK", "Q.DO":
-		cmd, err := parseRequest(cfg, name, args, now)
+	case askName, doName:
+		cmd, err := parseRequest(name, args, now)
 		if err != nil {
 			return received{reply: redcon.AppendError(nil, "ERR "+err.Error())}
 		}
--- a/internal/gateway/resp.go
+++ b/internal/resp/shape.go
@@ -1,4 +1,6 @@
-package gateway
+// Package resp is RESP2's front and back: clients and nodes that speak it, on the gateway's core. One goroutine a connection
+// reads; everything else happens in the core's loop.
+package resp
 
 import (
 	"bytes"
@@ -6,7 +8,7 @@
 	"strconv"
 	"unicode/utf8"
 
-	"sloepick/decide"
+	"sloepick/internal/gateway"
 )
 
 // Bounds on what peers send. Each is checked on the header that tells it, so that what can't become a command
@@ -14,9 +16,9 @@
 // headers with each read, not a pass over its bytes. (The RESP library waits for all of a huge or negative
 // length, and panics on some.)
 const (
+	valueMost   = gateway.ValueMost
 	headerMost  = 16                // bytes of a header, "$65536\r\n" and some
 	argsMost    = 16                // of a command: the longest that clients use has five
-	valueMost   = 64 << 10          // bytes of a value
 	commandMost = valueMost + 4<<10 // bytes of a whole command
 	fieldMost   = 4 << 10           // bytes of a figure, of a load report and of an error line
 	answerMost  = valueMost + 3*fieldMost
@@ -81,10 +83,10 @@
 
 // answer is what a server said to a request.
 type answer struct {
-	outcome decide.Outcome
-	value   []byte // shares memory with what was read
-	figures []byte // on use, likewise
-	inStep  bool   // the whole of it was read, so the next answer can be told from it
+	fate    gateway.Fate // 0: served
+	value   []byte       // shares memory with what was read
+	figures []byte       // on use, likewise
+	inStep  bool         // the whole of it was read, so the next answer can be told from it
 }
 
 // parseAnswer reads a server's answer, exactly: an array of the value, the figures on use or null, and the load
@@ -94,12 +96,12 @@
 	if len(b) == 0 || b[0] != '-' {
 		return servedAnswer(b)
 	}
-	o, used, err := errorLine(b)
-	return answer{outcome: o, inStep: true}, used, err
+	f, used, err := errorLine(b)
+	return answer{fate: f, inStep: true}, used, err
 }
 
 // errorLine reads a line such as "-BUSY" or "-ERR failed queue=2".
-func errorLine(b []byte) (o decide.Outcome, used int, err error) {
+func errorLine(b []byte) (f gateway.Fate, used int, err error) {
 	end := bytes.IndexByte(b[:min(len(b), fieldMost)], '\n')
 	if end < 0 && len(b) < fieldMost {
 		return 0, 0, nil
@@ -112,9 +114,9 @@
 		return 0, 0, errSpoilt
 	}
 	if string(word) == "BUSY" {
-		return decide.Full, end + 1, nil
+		return gateway.TurnedAway, end + 1, nil
 	}
-	return decide.Error, end + 1, nil
+	return gateway.Unusable, end + 1, nil
 }
 
 func servedAnswer(b []byte) (a answer, used int, err error) {
@@ -127,7 +129,7 @@
 		return a, 0, err
 	}
 	at := from + n
-	a = answer{outcome: decide.OK, value: value, inStep: true}
+	a = answer{value: value, inStep: true}
 	for i := range 2 { // figures on use, and the load report, by which nothing is decided
 		got, n, err := bulk(b[at:], -1, fieldMost)
 		if err != nil {
--- a/internal/gateway/resp_test.go
+++ b/internal/resp/shape_test.go
@@ -1,10 +1,10 @@
-package gateway
+package resp
 
 import (
 	"strings"
 	"testing"
 
-	"sloepick/decide"
+	"sloepick/internal/gateway"
 )
 
 // An answer has one shape. All else is noise, known as such as early as can be: it was served, or waited for to the
@@ -12,15 +12,15 @@
 func TestParseAnswer(t *testing.T) {
 	const rest = "$-1\r\n$-1\r\n"
 	for in, want := range map[string]answer{
-		"*3\r\n$1\r\nv\r\n" + rest:                   {decide.OK, []byte("v"), nil, true},
-		"*3\r\n$0\r\n\r\n" + rest:                    {decide.OK, []byte(""), nil, true},
-		"*3\r\n$1\r\nv\r\n$2\r\n51\r\n$3\r\n?!?\r\n": {decide.OK, []byte("v"), []byte("51"), true},
-		"*3\r\n$1\r\nv\r\n:5\r\n$-1\r\n":             {decide.OK, []byte("v"), nil, false},
-		"*3\r\n$1\r\nv\r\n$-1\r\n$3000000000\r\n":    {decide.OK, []byte("v"), nil, false},
-		"-ERR failed inflight=7,queue=2\r\n":         {decide.Error, nil, nil, true},
-		"-BUSY\r\n":                                  {decide.Full, nil, nil, true},
-		"-BUSY draining\r\n":                         {decide.Full, nil, nil, true},
-		"-BUSYBODY\r\n":                              {decide.Error, nil, nil, true},
+		"*3\r\n$1\r\nv\r\n" + rest:                   {0, []byte("v"), nil, true},
+		"*3\r\n$0\r\n\r\n" + rest:                    {0, []byte(""), nil, true},
+		"*3\r\n$1\r\nv\r\n$2\r\n51\r\n$3\r\n?!?\r\n": {0, []byte("v"), []byte("51"), true},
+		"*3\r\n$1\r\nv\r\n:5\r\n$-1\r\n":             {0, []byte("v"), nil, false},
+		"*3\r\n$1\r\nv\r\n$-1\r\n$3000000000\r\n":    {0, []byte("v"), nil, false},
+		"-ERR failed inflight=7,queue=2\r\n":         {gateway.Unusable, nil, nil, true},
+		"-BUSY\r\n":                                  {gateway.TurnedAway, nil, nil, true},
+		"-BUSY draining\r\n":                         {gateway.TurnedAway, nil, nil, true},
+		"-BUSYBODY\r\n":                              {gateway.Unusable, nil, nil, true},
 	} {
 		for n := range len(in) {
 			if _, used, err := parseAnswer([]byte(in[:n])); want.inStep && (used != 0 || err != nil) {
@@ -28,7 +28,7 @@
 			}
 		}
 		a, used, err := parseAnswer([]byte(in))
-		if used != len(in) || a.outcome != want.outcome || string(a.value) != string(want.value) || string(a.figures) != string(want.figures) || a.inStep != want.inStep || err != nil {
+		if used != len(in) || a.fate != want.fate || string(a.value) != string(want.value) || string(a.figures) != string(want.figures) || a.inStep != want.inStep || err != nil {
 			t.Errorf("%q: got %+v, %d bytes, %v", in, a, used, err)
 		}
 	}
@@ -72,7 +72,7 @@
 	f.Add([]byte("-ERR failed\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		a, used, err := parseAnswer(b)
-		if used > len(b) || used < 0 || (err != nil && used != 0) || (used > 0 && (a.outcome == decide.OK) != (a.value != nil)) {
+		if used > len(b) || used < 0 || (err != nil && used != 0) || (used > 0 && (a.fate == 0) != (a.value != nil)) {
 			t.Errorf("%q: %+v, %d bytes, %v", b, a, used, err)
 		}
 	})
--- /dev/null
+++ b/internal/stand/profile.go
@@ -0,0 +1,23 @@
+package stand
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// profile are settings with one class of each kind that tests send most: look is safe, book is keyed. One plan, p, whose quota
+// no test reaches.
+const profile = `{"Classes":[
+ {"Name":"look","Effect":"safe","AimNs":%[1]d,"GiveUpNs":30000000000,"Importance":1},
+ {"Name":"book","Effect":"keyed","Group":"cell","WindowNs":30000000000,"AimNs":%[1]d,"GiveUpNs":30000000000,"Importance":3}],
+"Extra":{"PeerIntake":40,"UnitsTop":8},"Instances":2,"Rank":0,"Zone":"a",
+"Limits":{"SendCap":5,"MayCancel":true,"ParallelTries":true,"Peers":true,"RetryAfter":true,"MaxRetryAfterNs":1000000000,
+ "ConnectTimeoutNs":2000000000,"ConnIdleNs":60000000000,"OpenCap":1000},
+"Safety":{"ColdNs":5000000000,"FallNs":1000000000,"FallMultiple":4,"ColdFrom":0.2},
+"TiersOfService":[{"Name":"p","Refill":1000,"MostAtOnce":3000,"Pays":1}]}`
+
+// Profile is the settings of a small platform whose classes have an aim, from which gateways guess how long an answer takes.
+func Profile(aim time.Duration) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(profile, aim.Nanoseconds()))
+}
