Make gateways members of a fleet that gives them their numbers

Need: gateways were numbered by hand; a fleet of many has to find its members, number them and keep quotas whole while they die, stand still and come back. internal/fleet decided that already, and nothing fed it.

Change: internal/gossip, the engine: memberlist 0.7.0 with encryption and key rotation, the member's place and last known members on disk, messages of the module from place to place, a local socket for sloectl fleet status.

--- /dev/null
+++ b/cmd/sloectl/fleet.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"sloepick/internal/fleet"
+	"sloepick/internal/gossip"
+)
+
+// fleetVerb shows how a daemon sees its fleet: fleet status SOCKET.
+func fleetVerb(args []string, out, errs io.Writer) int {
+	if len(args) != 2 || args[0] != "status" {
+		fmt.Fprintln(errs, "usage: sloectl fleet status SOCKET")
+		return exitTrouble
+	}
+	r, err := gossip.ReadStatus(context.Background(), args[1])
+	if err != nil {
+		fmt.Fprintln(errs, "sloectl:", err)
+		return exitTrouble
+	}
+	printFleet(out, r)
+	return exitOK
+}
+
+// printFleet is a table of the members, and a line on this one.
+func printFleet(out io.Writer, r *gossip.Report) {
+	generation := uint64(0)
+	for _, row := range r.Rows {
+		if row.Self {
+			generation = row.Generation
+		}
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MEMBER\tSTATE\tPLACE\tTERM\tLIFE\tCONFIGURATION\tTOLD\tADDRESS")
+	for _, row := range r.Rows {
+		place, term := "-", "-"
+		if row.Claim.Place >= 0 {
+			place, term = fmt.Sprint(row.Claim.Place), fmt.Sprint(row.Claim.Term)
+			if row.Claim.Place >= len(r.Standing.Holders) || r.Standing.Holders[row.Claim.Place].Name != row.Name {
+				place += " (not held)"
+			}
+		}
+		state, told, conf := row.State.String(), (r.Now-row.Heard).Round(time.Second/10).String()+" ago", fmt.Sprintf("%016x", row.Generation)
+		if row.Self {
+			state, told = state+", this one", "-"
+		} else if row.State != fleet.Alive {
+			state += fmt.Sprintf(" for %v", (r.Now - row.Since).Round(time.Second))
+		}
+		if row.Generation != generation {
+			conf += " (other)"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", row.Name, state, place, term, row.Life, conf, told, row.Addr)
+	}
+	w.Flush()
+	stands := fmt.Sprintf("%s is in place %d", r.Name, r.Standing.Place)
+	if r.Standing.Place < 0 {
+		stands = r.Name + " has no place and lets nothing in"
+	}
+	if r.Standing.Alone {
+		stands += ", cut off: it keeps to its even part"
+	}
+	fmt.Fprintf(out, "%s; %d messages to others were dropped here\n", stands, r.Lost)
+}
--- a/cmd/sloectl/main.go
+++ b/cmd/sloectl/main.go
@@ -31,6 +31,7 @@
 		{"diff", "[--json] OLD NEW", "tell what changes in meaning; exit 0 the same, 1 different, 2 trouble", diff},
 		{"show", "FILE", "print all values that hold, each with where it came from", show},
 		{"route", "explain --platform FILE [--class C] [--plan P] [--customer HEX] [--patience 5s] FILE", "tell which route a request gets, and why no other", routeVerb},
+		{"fleet", "status SOCKET", "show how a daemon sees its fleet: members, places, terms, configurations", fleetVerb},
 		{"doc", "", "print the reference page of all blocks and keys", doc},
 		{"demo", "[--seconds N] [--seed N] [--plain] [--keep] [--operator FILE]", "play a day with three gateways, nodes and clients on loopback", demo},
 		{"daemon", "[-operator FILE]", "run the gateway in this process, as sloepick does", runDaemon},
--- /dev/null
+++ b/internal/blocks/fleet.go
@@ -0,0 +1,74 @@
+package blocks
+
+import (
+	"hash/fnv"
+
+	"sloepick/internal/fleet"
+	"sloepick/internal/gossip"
+	"sloepick/internal/operator"
+)
+
+// fleetBlock declares the block fleet.
+func fleetBlock() *operator.Block {
+	return &operator.Block{
+		Name: "fleet", Check: checkFleet,
+		Doc: "The gateway is one member of a fleet, which gives it its number; numbers and peers of the platform's file do not count then. Without the block there is no fleet.",
+		Keys: []operator.Key{
+			{Name: "address", Kind: operator.Text, Optional: true, Takes: operator.AtRestart, Doc: "The member's own socket for the fleet, as \"host:port\", by UDP and TCP. Required."},
+			{Name: "places", Kind: operator.Count, Default: "16", Least: "1", Most: "4096", Takes: operator.AtRestart,
+				Doc: "Numbers that there are to give, the same at all members. Spare ones cost nothing; members without one let nothing in."},
+			{Name: "expect", Kind: operator.Count, Default: "1", Least: "1", Most: "4096", Takes: operator.AtRestart,
+				Doc: "Members that the fleet is meant to have. Numbers are given only where more than half of them, and of those last known, are there."},
+			{Name: "seeds", Kind: operator.Text, List: true, Optional: true, Takes: operator.AtRestart, Doc: "Addresses of members by which it joins; one of them may be its own."},
+			{Name: "keys", Kind: operator.Text, Optional: true, Doc: "A file with keys of 16, 24 or 32 bytes in base64, one a line; the first is used to send, any to read. Read again at each reload. Left out: nothing is encrypted."},
+			{Name: "state", Kind: operator.Text, Optional: true, Takes: operator.AtRestart, Doc: "A file in which the member keeps its number and who is there. Left out: nothing is kept."},
+			{Name: "status", Kind: operator.Text, Optional: true, Takes: operator.AtRestart, Doc: "A local socket for sloectl fleet status, for this user alone. Left out: none."},
+		},
+	}
+}
+
+func checkFleet(s *operator.Section) (out []operator.Problem) {
+	if !s.Present() {
+		return nil
+	}
+	if !s.Has("address") {
+		return []operator.Problem{{Key: "address", Msg: "a member of a fleet needs an address of its own"}}
+	}
+	if msg := badAddress(s.Word("address")); msg != "" {
+		out = append(out, operator.Problem{Key: "address", Msg: msg})
+	}
+	for _, seed := range s.Words("seeds") {
+		if msg := badAddress(seed); msg != "" {
+			out = append(out, operator.Problem{Key: "seeds", Msg: msg})
+		}
+	}
+	if s.Count("expect") > s.Count("places") {
+		out = append(out, operator.Problem{Key: "expect", Msg: "there are more members expected than places"})
+	}
+	return out
+}
+
+// Fleet reads how the gateway takes part in a fleet; nil: it does not.
+func Fleet(c *operator.Config) *gossip.Config {
+	s := c.One("fleet")
+	if !s.Present() {
+		return nil
+	}
+	f := &gossip.Config{Address: s.Word("address"), Seeds: s.Words("seeds"), Generation: Generation(c), Table: fleet.Default()}
+	f.Table.Places, f.Table.Expect = s.Count("places"), s.Count("expect")
+	for key, to := range map[string]*string{"keys": &f.KeyFile, "state": &f.StateFile, "status": &f.StatusSocket} {
+		if s.Has(key) {
+			*to = beside(s, key)
+		}
+	}
+	return f
+}
+
+// Generation is a number for what stands in an operators' file and its includes.
+func Generation(c *operator.Config) uint64 {
+	h := fnv.New64a()
+	for _, src := range c.Sources {
+		h.Write(src.Text)
+	}
+	return h.Sum64()
+}
--- a/internal/blocks/listener.go
+++ b/internal/blocks/listener.go
@@ -36,11 +36,8 @@
 }
 
 func checkListener(s *operator.Section) (out []operator.Problem) {
-	host, port, err := net.SplitHostPort(s.Word("address"))
-	if n, e := strconv.ParseUint(port, 10, 16); err != nil || e != nil || net.ParseIP(host) == nil && host != "localhost" {
-		out = append(out, operator.Problem{Key: "address", Msg: fmt.Sprintf("%q is not an IP address and a port, as in \"127.0.0.1:8443\"", s.Word("address"))})
-	} else if n == 0 {
-		out = append(out, operator.Problem{Key: "address", Msg: "the port must be told"})
+	if msg := badAddress(s.Word("address")); msg != "" {
+		out = append(out, operator.Problem{Key: "address", Msg: msg})
 	}
 	t := s.One("tls")
 	if !t.Present() {
@@ -57,6 +54,19 @@
 	return out
 }
 
+// badAddress tells what is wrong with a host and a port; "": nothing.
+func badAddress(addr string) string {
+	host, port, err := net.SplitHostPort(addr)
+	n, e := strconv.ParseUint(port, 10, 16)
+	switch {
+	case err != nil || e != nil || net.ParseIP(host) == nil && host != "localhost":
+		return fmt.Sprintf("%q is not an IP address and a port, as in \"127.0.0.1:8443\"", addr)
+	case n == 0:
+		return "the port must be told"
+	}
+	return ""
+}
+
 // Listeners reads the listeners of a checked configuration.
 func Listeners(c *operator.Config) (all []h2.Listener) {
 	for _, s := range c.All("listener") {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"sloepick/internal/blocks"
 	"sloepick/internal/gateway"
+	"sloepick/internal/gossip"
 	"sloepick/internal/h2"
 	"sloepick/internal/operator"
 	"sloepick/internal/resp"
@@ -80,17 +81,54 @@
 			cfg.Fronts = append(cfg.Fronts, f)
 		}
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	if r.now != nil {
+		if err := r.join(ctx, end); err != nil {
+			return err
+		}
+	}
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB<<20)))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	log.Info("starting", "listen", cfg.Listen, "servers", len(cfg.Known.Servers))
 	go r.run(ctx, hup)
 	if err := gateway.Run(ctx, cfg, r.reloads, log); err != nil {
 		return err
 	}
 	log.Info("stopped")
+	if err := context.Cause(ctx); errors.Is(err, errYielded) {
+		return err
+	}
+	return nil
+}
+
+var errYielded = errors.New("a later process of this name is in the fleet")
+
+// join makes the gateway a member of a fleet, if the operators' file says so. The fleet gives it its number.
+func (r *reloader) join(ctx context.Context, end context.CancelCauseFunc) error {
+	f := blocks.Fleet(r.now)
+	if f == nil {
+		return nil
+	}
+	f.Name = r.cfg.Name
+	member, err := gossip.New(*f, r.log)
+	if err != nil {
+		return err
+	}
+	r.member, r.cfg.Member = member, member
+	set := &r.cfg.Settings.Decide
+	set.Rank, set.Gateways, set.Limits.Peers = 0, f.Table.Places, true
+	go func() {
+		select {
+		case m := <-member.Yielded():
+			r.log.Error("a later process of this name is in the fleet: ending", "name", m.Name, "at", m.Addr)
+			end(errYielded)
+		case <-ctx.Done():
+		}
+	}()
 	return nil
 }
 
@@ -155,6 +193,7 @@
 	level   *slog.LevelVar
 	reloads chan gateway.Reload
 	fronts  []*h2.Front
+	member  *gossip.Engine // nil: of no fleet
 }
 
 func (r *reloader) run(ctx context.Context, hup <-chan os.Signal) {
@@ -201,6 +240,11 @@
 		}
 		takes = append(takes, take)
 	}
+	if r.member != nil {
+		if err := r.member.Reload(blocks.Generation(c)); err != nil {
+			return gateway.Reload{}, nil, err
+		}
+	}
 	for _, take := range takes {
 		take()
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -181,7 +181,8 @@
 // Holder is whose a place is.
 type Holder struct {
 	Name  string // "": it is vacant
-	State State  // Lost and Left: it is kept
+	Life  uint64
+	State State // Lost and Left: it is kept
 }
 
 func (s *Standing) equal(o *Standing) bool {
@@ -227,6 +228,7 @@
 	askBy    time.Duration // while it is cut off or many are lost, others are asked again then
 	leaving  bool
 	yielded  bool
+	full     bool  // there was no free place when it looked last
 	last     Claim // that was used
 	told     Standing
 	held     []Holder // of all places; shared with what was told, so never written
@@ -370,7 +372,7 @@
 	if r != nil && r.state == Alive && m.Life < r.Life {
 		return // a former life of it
 	}
-	if r == nil || r.state != Alive || r.Claim != m.Claim {
+	if r == nil || r.state != Alive || r.Claim != m.Claim || r.Life != m.Life {
 		t.changed = true
 		t.unsettle()
 	}
@@ -511,7 +513,7 @@
 			return
 		}
 		if h := &holders[p]; h.Name == "" || m.Name < h.Name {
-			*h = Holder{m.Name, s}
+			*h = Holder{m.Name, m.Life, s}
 		}
 	}
 	better(&t.self, Alive)
@@ -547,10 +549,14 @@
 	}
 	slices.SortStableFunc(free, func(a, b int) int { return cmp.Compare(t.terms[a], t.terms[b]) })
 	if at >= len(free) {
-		t.settleBy = t.now + t.cfg.Patient
-		t.note("there is no free place: %d places, waiting members: %d", t.cfg.Places, waiting)
+		t.settleBy = t.now + t.cfg.Prove
+		if !t.full {
+			t.note("there is no free place: %d places, waiting members: %d", t.cfg.Places, waiting)
+		}
+		t.full = true
 		return 0, false
 	}
+	t.full = false
 	return free[at], true
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -33,6 +33,7 @@
 	Tuning     tuning.Tuning   // the zero value: what holds without an operator file
 	Routes     []*route.Route  // proven by Prove; none: the module's own bounds hold
 	Fronts     []Front         // by which clients come
+	Member     Member          // of a fleet; nil: the settings tell the gateway's number, and all others are there
 	Back       Back            // by which nodes are reached
 	Backs      map[string]Back // by which nodes of a kind are reached in its place
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -42,6 +42,8 @@
 	after    []func()                       // to be done once the turn's events are handled
 	closed   chan struct{}                  // closed when nothing new is taken
 	closing  bool
+	place    place // in a fleet
+	rank     int   // that the module goes by
 	restarts int
 	tap      func(decide.Event, []decide.Action) // nil: none
 }
@@ -58,7 +60,7 @@
 	if cfg.Tuning == (tuning.Tuning{}) {
 		cfg.Tuning = tuning.Default()
 	}
-	l.door = &Door{l}
+	l.door, l.rank, l.place.number = &Door{l}, cfg.Settings.Decide.Rank, -1
 	l.tune.Store(&cfg.Tuning)
 	l.ahead = make(chan struct{}, cfg.Tuning.Clients.AcceptAhead)
 	l.pool = newPool(l, cfg)
@@ -246,7 +248,7 @@
 		return nil
 	}
 	cap := l.cfg.Settings.OpenCap
-	if l.held+v.size() > l.heldMost() || (cap > 0 && len(l.requests) >= cap) {
+	if !l.mayAdmit() || l.held+v.size() > l.heldMost() || (cap > 0 && len(l.requests) >= cap) {
 		from.Ended(Ending{Kind: Refused, After: l.cfg.Settings.Decide.Limits.MaxRetryAfter})
 		return nil
 	}
--- /dev/null
+++ b/internal/gateway/member.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+
+	"sloepick/decide"
+	"sloepick/internal/fleet"
+)
+
+// Member takes part in a fleet for the gateway: it tells by the Door how the gateway stands, and carries the module's messages
+// from place to place.
+type Member interface {
+	Peers
+	// Serve takes part until the context ends, and then leaves.
+	Serve(ctx context.Context, d *Door)
+	// Valid reports that the standing of that number is the last one and still good: a process that stood still must not go by
+	// what it was told before. It may be called from any goroutine.
+	Valid(n uint64) bool
+}
+
+// place is what a gateway in a fleet was told.
+type place struct {
+	number int // below 0: it may let nothing in
+	term   uint64
+	n      uint64 // of the standing
+	had    bool   // a place before
+}
+
+// Stand lets the loop take how the gateway stands in its fleet. Standings are counted.
+func (d *Door) Stand(s fleet.Standing, n uint64) {
+	d.Post(func() { d.l.stand(s, n) })
+}
+
+// Message lets the loop take a message of the gateway in that place.
+func (d *Door) Message(from int, text string) { d.l.peerMessage(from, text) }
+
+func (l *loop) stand(s fleet.Standing, n uint64) {
+	was := l.place
+	l.place.n, l.place.number = n, s.Place
+	if s.Place < 0 {
+		return // what is open goes on by the number that it had
+	}
+	l.place.term, l.place.had = s.Term, true
+	e := decide.Standing{Rank: s.Place, Alone: s.Alone, Peers: make([]decide.Presence, len(s.Holders)),
+		Anew: was.had && (s.Place != l.rank || s.Term != was.term)}
+	for i, h := range s.Holders {
+		switch {
+		case h.Name == "" || h.State == fleet.Left:
+			e.Peers[i] = decide.Vacant
+		case h.State == fleet.Lost:
+			e.Peers[i] = decide.Missing
+		}
+	}
+	l.rank = s.Place
+	l.feed(e)
+}
+
+// mayAdmit reports that the gateway has a place, or needs none.
+func (l *loop) mayAdmit() bool {
+	return l.cfg.Member == nil || l.place.number >= 0 && l.cfg.Member.Valid(l.place.n)
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -51,7 +51,11 @@
 	inner, cancel := context.WithCancel(context.Background()) // discovery goes on while the gateway drains
 	defer wg.Wait()
 	defer cancel()
-	if cfg.PeerListen.IsValid() {
+	switch {
+	case cfg.Member != nil:
+		l.peers = cfg.Member
+		wg.Go(func() { cfg.Member.Serve(inner, l.door) })
+	case cfg.PeerListen.IsValid():
 		peers, err := openPeers(cfg.PeerListen, cfg.Peers)
 		if err != nil {
 			return err
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,309 @@
+package gossip
+
+import (
+	"context"
+	"encoding/base64"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sloepick/decide"
+	"sloepick/internal/fleet"
+	"sloepick/internal/gateway"
+	"sloepick/internal/settings"
+	"sloepick/internal/stand"
+)
+
+const patience = 30 * time.Second // for what must come
+
+// wall is the time since this program began.
+type wall struct{ start time.Time }
+
+func (w wall) Now() time.Duration { return time.Hour + time.Since(w.start) }
+
+// member is an engine with the core of a gateway, as in a daemon.
+type member struct {
+	*Engine
+	t      *testing.T
+	peers  chan decide.PeerMessage
+	stop   func()
+	served chan struct{}
+}
+
+// start starts a member of a fleet of three places whose times are short.
+func start(t *testing.T, name, addr string, change func(*Config)) *member {
+	t.Helper()
+	cfg := Config{Name: name, Address: addr, Table: fleet.Default()}
+	cfg.Table.Places, cfg.Table.Settle, cfg.Table.Prove = 3, 300*time.Millisecond, 500*time.Millisecond
+	if change != nil {
+		change(&cfg)
+	}
+	log := slog.New(slog.DiscardHandler)
+	e, err := New(cfg, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, err := settings.Parse(stand.Profile(time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set.Decide.Gateways = cfg.Table.Places
+	core, err := gateway.NewCore(gateway.Config{Cores: 1, MemoryMB: 64, Sockets: 256, Settings: set, Member: e}, wall{time.Now()}, e, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &member{Engine: e, t: t, peers: make(chan decide.PeerMessage, 1000), served: make(chan struct{})}
+	core.Tap(func(ev decide.Event, _ []decide.Action) {
+		if ev, ok := ev.(decide.PeerMessage); ok {
+			select {
+			case m.peers <- ev:
+			default:
+			}
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = func() {
+		cancel()
+		<-m.served
+	}
+	t.Cleanup(m.stop)
+	go func() {
+		defer close(m.served)
+		e.Serve(ctx, core.Door())
+	}()
+	go func() { // the loop, which goes on until nobody posts any more
+		for {
+			select {
+			case <-core.Posted():
+			case <-time.After(10 * time.Millisecond):
+			}
+			core.Step()
+			select {
+			case <-m.served:
+				return
+			default:
+			}
+		}
+	}()
+	return m
+}
+
+// until waits until a member's view is as it should be.
+func (m *member) until(what string, holds func(r *Report) bool) *Report {
+	m.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if r := m.Report(); r != nil && holds(r) {
+			return r
+		}
+	}
+	m.t.Fatalf("%s did not come about: %+v", what, m.Report())
+	return nil
+}
+
+func placed(r *Report) bool { return r.Standing.Place >= 0 }
+
+// alive counts the members that are there, and finds one by its name.
+func alive(r *Report, name string) (n int, row *fleet.Row) {
+	for i := range r.Rows {
+		if r.Rows[i].State == fleet.Alive {
+			n++
+		}
+		if r.Rows[i].Name == name {
+			row = &r.Rows[i]
+		}
+	}
+	return n, row
+}
+
+func addresses(t *testing.T, n int) (all []string) {
+	t.Helper()
+	places, err := stand.Places(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range places {
+		all = append(all, p.Listen)
+	}
+	return all
+}
+
+func keyFile(t *testing.T, keys ...string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "keys")
+	writeKeys(t, file, keys...)
+	return file
+}
+
+func writeKeys(t *testing.T, file string, keys ...string) {
+	t.Helper()
+	var text strings.Builder
+	for _, k := range keys {
+		text.WriteString(base64.StdEncoding.EncodeToString([]byte(k)) + "\n")
+	}
+	if err := os.WriteFile(file, []byte(text.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const (
+	oldKey   = "0123456789abcdef"
+	newKey   = "fedcba9876543210"
+	otherKey = "a stranger's key"
+)
+
+// Members with one key find each other by a seed, get places of their own, and the module's messages reach the holder of a place.
+// One with another key stays outside. A key is changed while all go on.
+func TestMembersAndKeys(t *testing.T) {
+	at := addresses(t, 3)
+	keyA, keyB := keyFile(t, oldKey), keyFile(t, oldKey)
+	with := func(keys string) func(*Config) {
+		return func(c *Config) { c.KeyFile, c.Seeds = keys, []string{at[0]} }
+	}
+	a, b := start(t, "a", at[0], with(keyA)), start(t, "b", at[1], with(keyB))
+	stranger := start(t, "c", at[2], with(keyFile(t, otherKey)))
+	two := func(r *Report) bool {
+		n, _ := alive(r, "")
+		return n == 2 && placed(r)
+	}
+	ra, rb := a.until("two members", two), b.until("two members", two)
+	if ra.Standing.Place == rb.Standing.Place {
+		t.Errorf("both are in place %d", ra.Standing.Place)
+	}
+	if n, _ := alive(stranger.until("a view", func(*Report) bool { return true }), ""); n != 1 {
+		t.Errorf("one with another key sees %d members", n)
+	}
+	if err := a.Tell(rb.Standing.Place, "xhello"); err != nil {
+		t.Error(err)
+	}
+	for m := range b.peers {
+		if m.Text == "xhello" {
+			if m.From != ra.Standing.Place {
+				t.Errorf("a message of place %d is taken for one of %d", ra.Standing.Place, m.From)
+			}
+			break
+		}
+	}
+	for _, place := range []int{-1, 3, 3 - ra.Standing.Place - rb.Standing.Place} {
+		if a.Tell(place, "x") == nil {
+			t.Errorf("a message to place %d was taken", place)
+		}
+	}
+	for _, keys := range [][]string{{oldKey, newKey}, {newKey, oldKey}, {newKey}} {
+		for i, file := range []string{keyA, keyB} {
+			writeKeys(t, file, keys...)
+			if err := []*member{a, b}[i].Reload(uint64(len(keys[0]) + i)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := os.WriteFile(keyA, []byte("not a key\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Reload(1); err == nil || !strings.Contains(err.Error(), "keys:1") {
+		t.Errorf("a file without a key: %v", err)
+	}
+	a.until("b's new configuration", func(r *Report) bool {
+		_, row := alive(r, "b")
+		return row != nil && row.Generation == 17
+	})
+	a.stop()
+	b.until("a's goodbye", func(r *Report) bool {
+		_, row := alive(r, "a")
+		return row.State == fleet.Left
+	})
+}
+
+// Of two processes of one name the later one stays, in the place that the other had, and the other is told to end.
+func TestTwoOfOneName(t *testing.T) {
+	at := addresses(t, 3)
+	seeds := func(c *Config) { c.Seeds = at[:1] }
+	start(t, "a", at[0], seeds).until("a place", placed)
+	first := start(t, "b", at[1], seeds)
+	had := first.until("a place", placed).Standing.Place
+	second := start(t, "b", at[2], seeds)
+	select {
+	case m := <-first.Yielded():
+		if m.Addr != at[2] {
+			t.Errorf("it yields to %q", m.Addr)
+		}
+	case <-time.After(patience):
+		t.Fatal("the first was not told")
+	}
+	if first.Valid(first.stood.Load()) && first.standing.Load().Place >= 0 {
+		t.Error("the first goes on")
+	}
+	if r := second.until("a place", placed); r.Standing.Place != had {
+		t.Errorf("the second is in place %d, the first was in %d", r.Standing.Place, had)
+	}
+}
+
+// What a member keeps lets it come back to its place and find the others without a seed, and its life is later than the last though
+// the clock was set back. What can't be read ends the start.
+func TestState(t *testing.T) {
+	at := addresses(t, 2)
+	file := filepath.Join(t.TempDir(), "state")
+	keep := func(c *Config) { c.StateFile = file }
+	a := start(t, "a", at[0], nil)
+	a.until("a place", placed)
+	b := start(t, "b", at[1], func(c *Config) { keep(c); c.Seeds = at[:1] })
+	was := b.until("a place", placed)
+	b.stop()
+	text, err := os.ReadFile(file)
+	if err != nil || !strings.Contains(string(text), at[0]) {
+		t.Fatalf("kept %s, %v", text, err)
+	}
+	future := strings.Replace(string(text), `"life":`, `"life":9`, 1)
+	if err := os.WriteFile(file, []byte(future), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	again := start(t, "b", at[1], keep)
+	r := again.until("its place", placed)
+	if r.Standing.Place != was.Standing.Place || again.life < 9e12 {
+		t.Errorf("back in place %d of %d, life %d", r.Standing.Place, was.Standing.Place, again.life)
+	}
+	again.stop()
+	if err := os.WriteFile(file, []byte(`{"life"`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := New(Config{Name: "b", Address: at[1], StateFile: file, Table: fleet.Default()}, slog.New(slog.DiscardHandler)); err == nil {
+		t.Error("a broken file passes")
+	}
+}
+
+// A standing is good for a short time, and only the last one: a process that stood still goes by none.
+func TestValid(t *testing.T) {
+	a := start(t, "a", addresses(t, 1)[0], nil)
+	a.until("a place", placed)
+	n := a.stood.Load()
+	if !a.Valid(n) || a.Valid(n-1) {
+		t.Errorf("the last one is good: %v, the one before: %v", a.Valid(n), a.Valid(n-1))
+	}
+	a.stop()
+	for end := time.Now().Add(patience); a.Valid(a.stood.Load()); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it is good for ever")
+		}
+	}
+}
+
+// The status is told at the local socket; a second daemon does not take it away.
+func TestStatus(t *testing.T) {
+	socket := filepath.Join(t.TempDir(), "s")
+	at := addresses(t, 2)
+	a := start(t, "a", at[0], func(c *Config) { c.StatusSocket = socket })
+	a.until("a place", placed)
+	r, err := ReadStatus(context.Background(), socket)
+	if err != nil || r.Name != "a" || r.Standing.Place != 0 || len(r.Rows) != 1 || !r.Rows[0].Self {
+		t.Errorf("got %+v, %v", r, err)
+	}
+	if _, err := New(Config{Name: "b", Address: at[1], StatusSocket: socket, Table: fleet.Default()}, slog.New(slog.DiscardHandler)); err == nil {
+		t.Error("another process took the socket")
+	}
+	a.stop()
+	if _, err := ReadStatus(context.Background(), socket); err == nil {
+		t.Error("a stopped daemon answers")
+	}
+}
--- /dev/null
+++ b/internal/gossip/status.go
@@ -0,0 +1,74 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+)
+
+const (
+	statusWithin = time.Second // a reader of the status takes no longer
+	statusMode   = 0o600
+)
+
+// listenStatus opens the local socket for the status. One that a former process left behind gives way.
+func listenStatus(path string) (net.Listener, error) {
+	if c, err := net.Dial("unix", path); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("the fleet's status: another process serves %s", path)
+	}
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("the fleet's status: %w", err)
+	}
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, fmt.Errorf("the fleet's status: %w", err)
+	}
+	if err := os.Chmod(path, statusMode); err != nil {
+		ln.Close()
+		return nil, fmt.Errorf("the fleet's status: %w", err)
+	}
+	return ln, nil
+}
+
+// serveStatus tells whoever connects how the fleet stands, as JSON, one at a time, until the socket is closed.
+func (e *Engine) serveStatus(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		if err := c.SetDeadline(time.Now().Add(statusWithin)); err == nil {
+			err = json.NewEncoder(c).Encode(e.report.Load())
+			if err != nil {
+				e.log.Debug("telling the fleet's status", "err", err)
+			}
+		}
+		c.Close()
+	}
+}
+
+// ReadStatus asks a daemon at its local socket how the fleet stands.
+func ReadStatus(ctx context.Context, path string) (*Report, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "unix", path)
+	if err != nil {
+		return nil, fmt.Errorf("asking a daemon: %w", err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(statusWithin)); err != nil {
+		return nil, fmt.Errorf("asking a daemon: %w", err)
+	}
+	var r *Report
+	if err := json.NewDecoder(c).Decode(&r); err != nil {
+		return nil, fmt.Errorf("reading a daemon's answer: %w", err)
+	}
+	if r == nil {
+		return nil, errors.New("the daemon has not joined its fleet yet")
+	}
+	return r, nil
+}
--- a/internal/stand/audit.go
+++ b/internal/stand/audit.go
@@ -38,6 +38,20 @@
 	}
 }
 
+// Units is what the nodes were sent for a customer, each request counted once.
+func (t *Tally) Units(customer string) (sum float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := map[string]bool{}
+	for _, a := range t.arrivals {
+		if a.Customer == customer && !seen[a.ID] {
+			seen[a.ID] = true
+			sum += a.Units
+		}
+	}
+	return sum
+}
+
 // Drain is when discovery told that a node drains.
 type Drain struct {
 	Node     string
--- a/internal/stand/crowd.go
+++ b/internal/stand/crowd.go
@@ -46,6 +46,7 @@
 // Ended is a request and its end, as the client saw them.
 type Ended struct {
 	ID, Customer, Plan, Class string
+	Gateway                   int // of the crowd's list
 	Kind                      Kind
 	Sent, At                  time.Time
 	Patience                  time.Duration
@@ -127,6 +128,7 @@
 		patience := time.Duration((0.5 + r.Float64()/2) * float64(class.Patience))
 		e := Ended{ID: fmt.Sprintf("%s%08x", who.ID[8:], n), Customer: who.ID, Plan: who.Plan, Class: class.Name, Patience: patience}
 		gateway := (who.First + r.IntN(who.Spread)) % len(c.Gateways)
+		e.Gateway = gateway
 		key := ""
 		if class.Keyed {
 			key = fmt.Sprintf(",k=%016x", r.Uint64())
--- a/internal/world/fleet_test.go
+++ b/internal/world/fleet_test.go
@@ -215,7 +215,7 @@
 // vacant reports that nobody takes a name for a holder.
 func (x *trial) vacant(name string) bool {
 	return !slices.ContainsFunc(x.up(), func(m *Member) bool {
-		return slices.Contains(m.Table.Standing().Holders, fleet.Holder{Name: name, State: fleet.Alive})
+		return slices.ContainsFunc(m.Table.Standing().Holders, func(h fleet.Holder) bool { return h.Name == name && h.State == fleet.Alive })
 	})
 }
 
