Tell a service manager of readiness, reload, life and end, and take its sockets

Need: a daemon that others run has to tell when it serves, and a restart should refuse nobody.

Nothing without NOTIFY_SOCKET and LISTEN_FDS.

Result: against a stand-in manager two processes follow each other on one socket, and a request in the gap is served.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -23,6 +24,7 @@
 	"sloepick/internal/operator"
 	"sloepick/internal/resp"
 	"sloepick/internal/route"
+	"sloepick/internal/service"
 	"sloepick/internal/sloe"
 	"sloepick/internal/tuning"
 )
@@ -61,7 +63,13 @@
 	}
 	var level slog.LevelVar
 	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: &level})).With("gateway", cfg.Name)
-	cfg.Fronts, cfg.Back = []gateway.Front{resp.NewFront(cfg.Listen)}, resp.Back{}
+	sockets, err := service.Sockets()
+	if err != nil {
+		return err
+	}
+	clients := resp.NewFront(cfg.Listen)
+	give(sockets, clientsName, &clients.Listener)
+	cfg.Fronts, cfg.Back = []gateway.Front{clients}, resp.Back{}
 	r := reloader{file: file, cfg: &cfg, getenv: getenv, log: log, level: &level, reloads: make(chan gateway.Reload)}
 	if file != "" {
 		var warnings sloe.Diags
@@ -77,6 +85,7 @@
 			if err != nil {
 				return err
 			}
+			give(sockets, l.Name, &f.Listener)
 			r.fronts = append(r.fronts, f)
 			cfg.Fronts = append(cfg.Fronts, f)
 		}
@@ -93,6 +102,18 @@
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB<<20)))
+	for name := range sockets {
+		return fmt.Errorf("a socket %q was passed in, and nothing here has that name", name)
+	}
+	manager := service.New(log, getenv)
+	r.manager = manager
+	stopped := make(chan struct{})
+	defer close(stopped)
+	cfg.Ready = func(d *gateway.Door) {
+		manager.Ready()
+		go manager.Watch(d.Post, stopped)
+	}
+	context.AfterFunc(ctx, manager.Stopping)
 	log.Info("starting", "listen", cfg.Listen, "servers", len(cfg.Known.Servers))
 	go r.run(ctx, hup)
 	if err := gateway.Run(ctx, cfg, r.reloads, log); err != nil {
@@ -132,6 +153,17 @@
 	return nil
 }
 
+// clientsName is the name of the socket for RESP2's clients among those that are passed in; others go by the listeners' names.
+const clientsName = "clients"
+
+// give hands a socket that was passed in to a front.
+func give(sockets map[string]net.Listener, name string, to *gateway.Listener) {
+	if ln := sockets[name]; ln != nil {
+		to.Give(ln)
+		delete(sockets, name)
+	}
+}
+
 // operatorFile is the file that the flag names, or else the environment, or none.
 func operatorFile(args []string, getenv func(string) string) (string, error) {
 	fs := flag.NewFlagSet("sloepick", flag.ContinueOnError)
@@ -193,6 +225,7 @@
 	level   *slog.LevelVar
 	reloads chan gateway.Reload
 	fronts  []*h2.Front
+	manager *service.Manager
 	member  *gossip.Engine // nil: of no fleet
 }
 
@@ -203,15 +236,18 @@
 		case <-ctx.Done():
 			return
 		}
+		r.manager.Reloading()
 		next, c, err := r.read(ctx)
 		if err != nil {
 			r.log.Error("reload failed, the former configuration stays", "err", err)
+			r.manager.Reloaded()
 			continue
 		}
 		if !r.hand(ctx, next) {
 			return
 		}
 		r.taken(next, c)
+		r.manager.Reloaded()
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/service_test.go
@@ -0,0 +1,151 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sloepick/internal/stand"
+)
+
+// manager is a stand-in for the service manager: it takes notices, and holds a socket that it passes on to one process after
+// another.
+type manager struct {
+	t       *testing.T
+	notices *net.UnixConn
+	socket  string
+	ln      *os.File
+	addr    string
+}
+
+func newManager(t *testing.T) *manager {
+	t.Helper()
+	m := &manager{t: t, socket: filepath.Join(t.TempDir(), "notify")}
+	var err error
+	if m.notices, err = net.ListenUnixgram("unixgram", &net.UnixAddr{Name: m.socket, Net: "unixgram"}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { m.notices.Close() })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.addr = ln.Addr().String()
+	if m.ln, err = ln.(*net.TCPListener).File(); err != nil {
+		t.Fatal(err)
+	}
+	ln.Close() // the file stays
+	t.Cleanup(func() { m.ln.Close() })
+	return m
+}
+
+// next is the next notice that is none of life.
+func (m *manager) next() string {
+	m.t.Helper()
+	for {
+		if text := m.read(); text != "WATCHDOG=1" {
+			return text
+		}
+	}
+}
+
+func (m *manager) read() string {
+	m.t.Helper()
+	if err := m.notices.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		m.t.Fatal(err)
+	}
+	b := make([]byte, 4096)
+	n, err := m.notices.Read(b)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return string(b[:n])
+}
+
+func (m *manager) want(notice string) {
+	m.t.Helper()
+	if got := m.next(); !strings.HasPrefix(got, notice) {
+		m.t.Fatalf("got the notice %q, want %q", got, notice)
+	}
+}
+
+// start starts the daemon as the manager does; a shell learns the process's id for LISTEN_PID.
+func (m *manager) start(platform, names string) *stand.Process {
+	m.t.Helper()
+	cmd := exec.Command("/bin/sh", "-c", `LISTEN_PID=$$ exec "$0"`, os.Args[0])
+	cmd.ExtraFiles = []*os.File{m.ln}
+	cmd.Env = append(os.Environ(), "DAEMON_TEST_MAIN=1", "GW_CONFIG="+platform, "GW_OPERATOR=", "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=",
+		"NOTIFY_SOCKET="+m.socket, "WATCHDOG_USEC=100000", "LISTEN_FDS=1", "LISTEN_FDNAMES="+names)
+	p, err := stand.Start(cmd)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Cleanup(p.Kill)
+	return p
+}
+
+// A service manager hears when the daemon is ready, reloads, lives and ends; and as the socket is the manager's, no client is
+// refused while one process ends and the next one starts.
+func TestServiceManager(t *testing.T) {
+	site, err := stand.NewSite(stand.Clinic(), 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(site.Close)
+	places, err := stand.Places(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := site.Platform.Config(0, places, site.Discovery.Addr().String(), 1, site.List())
+	if err != nil {
+		t.Fatal(err)
+	}
+	platform := filepath.Join(t.TempDir(), "platform.json")
+	must(t, os.WriteFile(platform, text, 0o600))
+	m := newManager(t)
+
+	p := m.start(platform, "clients")
+	m.want("READY=1")
+	ask := func(id string) {
+		t.Helper()
+		c, err := stand.Dial(m.addr)
+		must(t, err)
+		defer c.Close()
+		must(t, c.Conn.SetDeadline(time.Now().Add(20*time.Second)))
+		must(t, c.Send("Q.ASK", "0000000000000001", id, "c=slot-lookup,t=network,d=1200,units=1,spread=1,first=0"))
+		if got, err := c.Read(); err != nil || got != "$"+stand.Value(id) {
+			t.Errorf("got %q, %v", got, err)
+		}
+	}
+	ask("00000001")
+	if got := m.read(); got != "WATCHDOG=1" {
+		t.Errorf("got %q, want a sign of life", got)
+	}
+	must(t, p.Signal(syscall.SIGHUP))
+	m.want("RELOADING=1\nMONOTONIC_USEC=")
+	m.want("READY=1")
+	must(t, p.Signal(syscall.SIGTERM))
+	m.want("STOPPING=1")
+	asked := make(chan struct{})
+	must(t, p.Stop())
+	go func() { // in the gap: it waits in the socket
+		defer close(asked)
+		ask("00000002")
+	}()
+	m.start(platform, "clients")
+	m.want("READY=1")
+	<-asked
+
+	odd := m.start(platform, "nobody")
+	must(t, odd.Log.Wait(t.Context(), `a socket "nobody" was passed in, and nothing here has that name`, 1))
+	if err := odd.Stop(); err == nil {
+		t.Error("a socket that nobody knows is no error")
+	}
+	fmt.Fprintln(t.Output(), "served over both processes at", m.addr)
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -34,6 +34,7 @@
 	Routes     []*route.Route  // proven by Prove; none: the module's own bounds hold
 	Fronts     []Front         // by which clients come
 	Member     Member          // of a fleet; nil: the settings tell the gateway's number, and all others are there
+	Ready      func(d *Door)   // called once, when the gateway takes requests and, in a fleet, has a place; nil: nobody asks
 	Back       Back            // by which nodes are reached
 	Backs      map[string]Back // by which nodes of a kind are reached in its place
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -163,8 +163,15 @@
 	return Listener{name: name, addr: addr, ready: make(chan struct{})}
 }
 
-// Listen opens it.
+// Give has it use a socket that listens already.
+func (s *Listener) Give(ln net.Listener) { s.ln = ln }
+
+// Listen opens it, unless it was given.
 func (s *Listener) Listen(ctx context.Context) (err error) {
+	if s.ln != nil {
+		close(s.ready)
+		return nil
+	}
 	var lc net.ListenConfig
 	if s.ln, err = lc.Listen(ctx, "tcp", s.addr); err != nil {
 		return fmt.Errorf("%s: %w", s.name, err)
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -53,6 +53,7 @@
 	}
 	l.rank = s.Place
 	l.feed(e)
+	l.readyOnce()
 }
 
 // mayAdmit reports that the gateway has a place, or needs none.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -70,6 +70,9 @@
 	for _, f := range cfg.Fronts {
 		wg.Go(func() { f.Serve(inner, l.door) })
 	}
+	if cfg.Member == nil {
+		l.in.post(l.readyOnce)
+	}
 	wg.Go(func() {
 		select {
 		case <-ctx.Done():
@@ -91,6 +94,14 @@
 	l.in.post(func() { l.fleet(kind, list) })
 }
 
+// readyOnce tells that the gateway takes requests.
+func (l *loop) readyOnce() {
+	if ready := l.cfg.Ready; ready != nil {
+		l.cfg.Ready = nil
+		ready(l.door)
+	}
+}
+
 // closeFronts has nothing new come.
 func (l *loop) closeFronts() (err error) {
 	for _, f := range l.cfg.Fronts {
