Stand aside after a standstill whatever was asked before it; keep state off the table

Seen, reading the diff: where an exchange of states was under way as a process stood still, its answer, which is of before, ended the standing aside: the member used its place on what it had believed. And the member's state was written, with fsync, by the goroutine of its table: a slow disk would have stopped the table, and with it the gateway.

Change: an answer to what was asked before a standstill counts for nothing, and it is asked again; the state is written by a goroutine of its own, the newest alone, and the last before the end.

The writing's goroutine has no test with a slow disk.

--- a/internal/daemon/service_test.go
+++ b/internal/daemon/service_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -147,5 +146,4 @@
 	if err := odd.Stop(); err == nil {
 		t.Error("a socket that nobody knows is no error")
 	}
-	fmt.Fprintln(t.Output(), "served over both processes at", m.addr)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -225,6 +225,7 @@
 	alone    bool
 	waking   bool          // it stood still, and has not heard how things are since
 	asked    bool          // Sync is out
+	stale    bool          // it was out before the process stood still
 	askBy    time.Duration // while it is cut off or many are lost, others are asked again then
 	leaving  bool
 	yielded  bool
@@ -292,7 +293,13 @@
 		t.heard = t.now
 		return false
 	case Synced:
-		t.asked, t.waking, t.askBy = false, false, t.now+t.cfg.Silence
+		t.asked, t.askBy = false, t.now+t.cfg.Silence
+		if t.stale { // what was asked before a standstill says nothing of now
+			t.stale = false
+			t.ask()
+			return true
+		}
+		t.waking = false
 		if e.OK {
 			t.heard = t.now
 		}
@@ -331,7 +338,7 @@
 // wake takes that this member stood still: what it knows may be over, so it does nothing until it has heard how things are.
 func (t *Table) wake(why string) {
 	t.note("%s: standing aside until the fleet is heard", why)
-	t.waking = true
+	t.waking, t.stale = true, t.asked
 	t.ask()
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -79,6 +79,8 @@
 	events   chan fleet.Event
 	tells    chan tell
 	dirty    chan struct{} // something is to be announced
+	unkept   chan struct{} // something is to be kept
+	toKeep   atomic.Pointer[saved]
 	self     atomic.Pointer[fleet.Member]
 	standing atomic.Pointer[fleet.Standing]
 	past     atomic.Pointer[[]byte] // the state that is passed on
@@ -132,7 +134,7 @@
 // New makes a member; it opens its socket and does not join yet.
 func New(cfg Config, log *slog.Logger) (*Engine, error) {
 	e := &Engine{cfg: cfg, log: log, events: make(chan fleet.Event, eventsMost), tells: make(chan tell, tellsMost),
-		dirty: make(chan struct{}, 1), nodes: map[string]*memberlist.Node{}, yielded: make(chan fleet.Member, 1), start: time.Now()}
+		dirty: make(chan struct{}, 1), unkept: make(chan struct{}, 1), nodes: map[string]*memberlist.Node{}, yielded: make(chan fleet.Member, 1), start: time.Now()}
 	if len(cfg.Name) > nameMost {
 		return nil, fmt.Errorf("the fleet: the member's name has %d bytes, more than %d", len(cfg.Name), nameMost)
 	}
@@ -270,6 +272,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { e.send(inner) })
 	wg.Go(func() { e.announce(inner) })
+	wg.Go(func() { e.save(inner) })
 	if e.status != nil {
 		wg.Go(func() { e.serveStatus(e.status) })
 	}
@@ -358,7 +361,7 @@
 	if s.Place >= 0 {
 		e.saved.Claim = fleet.Claim{Place: s.Place, Term: s.Term}
 	}
-	e.save()
+	e.keep()
 }
 
 // announce tells all members what this one has to say.
@@ -477,8 +480,8 @@
 	return nil
 }
 
-// save keeps the place and who is there, whole or not at all.
-func (e *Engine) save() {
+// keep has the place and who is there kept soon, the newest of it: the table must not wait for a disk.
+func (e *Engine) keep() {
 	if e.cfg.StateFile == "" {
 		return
 	}
@@ -489,8 +492,31 @@
 	}
 	e.mu.Unlock()
 	slices.Sort(e.saved.Members)
-	if err := writeWhole(e.cfg.StateFile, e.saved); err != nil {
-		e.log.Warn("the fleet's state was not kept", "err", err)
+	next := e.saved
+	e.toKeep.Store(&next)
+	select {
+	case e.unkept <- struct{}{}:
+	default:
+	}
+}
+
+// save writes what is to be kept, whole or not at all, until the context ends and nothing is left.
+func (e *Engine) save(ctx context.Context) {
+	write := func() {
+		if s := e.toKeep.Swap(nil); s != nil {
+			if err := writeWhole(e.cfg.StateFile, *s); err != nil {
+				e.log.Warn("the fleet's state was not kept", "err", err)
+			}
+		}
+	}
+	for {
+		select {
+		case <-e.unkept:
+			write()
+		case <-ctx.Done():
+			write()
+			return
+		}
 	}
 }
 
