Keep ceilings whole where some gateways are cut off from a fleet with homes

A second reading showed two faults where customers have homes and a fleet tells who is cut off. A gateway that is cut off took 1/spread of a ceiling, while homes grant a half and the others keep 1/(2 spread) each: k of them let 1 + k/(2 spread) of it pass. A number taken anew kept the slice and the bucket without homes of the former holder (renew).

Now whoever has no home's word takes its slice of what homes leave, and a home that is cut off keeps no half.

A question for nothing (listen) no longer counts as a request within the quota, which told floods too small.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -728,7 +728,9 @@
 		g.finish(r)
 		return
 	}
-	r.cust.store -= r.units
+	if g.mesh {
+		r.cust.store -= r.units // else the home or roomAlone has taken them
+	}
 	g.charge(r.cust, r.units)
 	if b := r.Bounds; b != nil && b.Budget != nil {
 		b.Budget.First(g.now, &s.Server)
@@ -931,7 +933,12 @@
 	}
 	if e.Outcome == Moot && len(r.attempts) == 1 {
 		g.charge(r.cust, -r.units) // nothing was sent, so the quota took nothing
-		r.cust.store += r.units
+		switch {
+		case g.mesh || r.granted == g.cfg.Rank:
+			r.cust.store += r.units
+		case r.granted < 0:
+			r.cust.spare += r.units
+		}
 		r.more = -r.units
 	}
 	worth := e.Outcome != Moot && (r.Bounds == nil || r.Bounds.Again.Has(e.Outcome))
--- a/decide/homes.go
+++ b/decide/homes.go
@@ -120,23 +120,30 @@
 // that is known to flood, by word or by its home's last answer, the share passes that its rate bears. Of others so
 // little comes to one gateway that its own count says nothing until it is some times the even part, and they pass
 // up to that: to hold each to the even part would refuse nearly all. A ceiling is kept by an even slice of what no
-// home grants from: the platform spreads a customer under one so that half of its burst, so parted, holds a request.
+// home grants from, by those that are cut off too: some may be cut off while homes grant to the others. The platform
+// spreads a customer under a ceiling so that half of its burst, so parted, holds a request.
 func (g *Gateway) roomAlone(c *customer, units float64) bool {
-	if g.alone {
-		return (c.plan.CeilingRate == 0 || g.storeHas(c, units)) && c.room(units)
-	}
 	if c.plan.CeilingRate > 0 && c.spare+slackPart*c.plan.CeilingSlack/float64(c.spread) < units {
 		return false
 	}
+	if g.alone && !c.room(units) || !g.alone && !g.loneRoom(c, units) {
+		return false
+	}
+	if c.plan.CeilingRate > 0 {
+		c.spare -= units
+	}
+	return true
+}
+
+// loneRoom takes so many units of what passes here of a customer whose homes are silent, if there is room.
+func (g *Gateway) loneRoom(c *customer, units float64) bool {
 	part := min(1, loneTimes/float64(c.spread))
 	c.lone = max(0, c.lone-part*c.plan.Rate*(g.now-c.loneAt).Seconds())
 	c.loneAt = g.now
 	if c.plan.Rate > 0 && (c.lone > max(0, part*c.plan.Burst-units) || g.rng.Float64() >= g.borne(c)) {
 		return false
 	}
-	if c.lone += units; c.plan.CeilingRate > 0 {
-		c.spare -= units
-	}
+	c.lone += units
 	return true
 }
 
@@ -174,7 +181,9 @@
 	c.grants = slices.DeleteFunc(c.grants, func(d grant) bool { return g.now-d.at > grantsKept })
 	c.fleet.add(g.now, units)
 	within := c.plan.Rate == 0 || c.whole+units <= c.plan.Burst
-	g.watch(c, within)
+	if units > 0 { // else nothing is asked for: see listen
+		g.watch(c, within)
+	}
 	ok = within &&
 		(c.plan.MaxOpen == 0 || out < c.plan.MaxOpen) && (c.plan.CeilingRate == 0 || c.store >= units)
 	if ok {
--- a/decide/standing.go
+++ b/decide/standing.go
@@ -54,10 +54,11 @@
 		g.peers[i] = peer{left: g.peers[i].left, missing: g.peers[i].missing}
 	}
 	for _, c := range g.customers {
-		c.at, c.settled, c.store = g.now, g.now, 0
+		c.at, c.settled, c.store, c.spare = g.now, g.now, 0, 0
 		c.usedSum, c.askedSum, c.askedTold = 0, 0, 0
 		c.part = 1 / float64(c.spread)
 		c.level = max(c.level, c.part*startLevel*c.plan.Burst)
+		c.lone, c.loneAt = max(c.lone, min(1, loneTimes*c.part)*startLevel*c.plan.Burst), g.now
 		c.whole = max(c.whole, startLevel*c.plan.Burst)
 		c.homes = [homes]int16{}
 		clear(c.told)
--- a/decide/standing_test.go
+++ b/decide/standing_test.go
@@ -89,7 +89,11 @@
 	j.run(5*time.Second, time.Second, "p", 1, func(int) int { return 0 }) // buckets leak
 	g := j.gws[2]
 	c := g.customers[shortKey("x")]
+	c.spare = 7
 	j.handle(2, Standing{Rank: 2, Anew: true, Peers: make([]Presence, 4)})
+	if c.spare != 0 || c.lone < startLevel*20 {
+		t.Errorf("%v units of the former holder's ceiling, a bucket without homes at %v", c.spare, c.lone)
+	}
 	if want := startLevel * 20 / 4; c.level < want || c.store != 0 || g.peers[1].known || c.usedSum != 0 {
 		t.Errorf("level %.1f, want %.1f at least; store %.1f, peer known %v, told sum %.1f", c.level, want, c.store, g.peers[1].known, c.usedSum)
 	}
@@ -166,3 +170,39 @@
 		}
 	}
 }
+
+// TestCeilingWhileSomeCutOff: all but a customer's home are cut off from the fleet and know it, while the home goes on to grant: what
+// all pass on together stays under the ceiling, and the home passes on its half of it.
+func TestCeilingWhileSomeCutOff(t *testing.T) {
+	j := join(t, inFleet, func(c *Config) {
+		c.PeerIntake = 7
+		c.Plans = []Plan{{Name: "p", Rate: 1000, Burst: 1000, CeilingRate: 20, CeilingBurst: 40, CeilingSlack: 4, Price: 1}}
+	})
+	home := j.gws[0].home(shortKey("x"), 0)
+	used, began := j.used, j.now
+	for round := range 3 {
+		apart := round%2 == 1
+		if j.loss = 0; apart {
+			j.loss = 1
+		}
+		j.stand(nil, func(i int) bool { return apart && i != home })
+		got := j.flood(30*time.Second, everywhere...)
+		if got < 9.5 { // the home's half
+			t.Errorf("round %d: %.1f units a second let in of 20", round, got)
+		}
+		if got, most := j.used-used, 40+4+20*(j.now-began).Seconds(); got > most {
+			t.Fatalf("round %d: %.0f units let in, the ceiling allows %.0f", round, got, most)
+		}
+	}
+}
+
+// TestListeningIsNoRequest: a question for nothing, put to hear whether others are back, does not make a flood look smaller.
+func TestListeningIsNoRequest(t *testing.T) {
+	j := join(t, inFleet, fleets["homes"])
+	g := j.gws[0]
+	c := g.customer(shortKey("x"), 0)
+	c.over = 0.5
+	if g.grant(c, 1, 1, 0); c.over != 0.5 {
+		t.Errorf("a flood of 0.5 is told as %v", c.over)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -112,7 +112,7 @@
 	open            int
 	store           float64       // units of this gateway's slice of the ceiling
 	spare           float64       // units of its slice of what homes leave of the ceiling
-	lone            float64       // what passed here without a home\'s word, as a bucket ...
+	lone            float64       // what passed here without a home's word, as a bucket ...
 	loneAt          time.Duration // ... as it was then
 
 	fleet         rate          // units that all gateways ask of this home
@@ -307,12 +307,13 @@
 	return c
 }
 
-// slice is the part of a customer's ceiling that this gateway keeps.
+// slice is the part of a customer's ceiling that this gateway keeps, beside what homes leave. A home that is cut off
+// from its fleet keeps none: the home that took its place does.
 func (g *Gateway) slice(c *customer) float64 {
 	switch {
-	case g.mesh || g.alone:
+	case g.mesh:
 		return 1 / float64(c.spread)
-	case g.home(c.key, 0) == g.cfg.Rank:
+	case !g.alone && g.home(c.key, 0) == g.cfg.Rank:
 		return homePart
 	}
 	return 0
