Tell customers under a ceiling when their home said to return, not the longest wait

Where customers have homes, a gateway that is not the home keeps no slice of a ceiling. roomIn divided by that slice of nothing, so every refused customer under a ceiling was told to stay away for 30 s (the settings cap it at 1 s), whatever the home had said; with a store that was just right 0/0 would have made the advice a number of no meaning. Now the home's word counts, and who is cut off reckons with its own slice of what homes leave.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -261,9 +261,13 @@
 	if p := c.plan; p.Rate > 0 {
 		wait = max(wait, (c.level+c.part*(units-p.Burst))/(c.part*p.Rate))
 	}
-	if p := c.plan; p.CeilingRate > 0 {
-		slack := slackPart * p.CeilingSlack / float64(c.spread)
-		wait = max(wait, (units-slack-c.store)/(p.CeilingRate*g.slice(c)))
+	slack, left := slackPart*c.plan.CeilingSlack/float64(c.spread), (1-homePart)/float64(c.spread)
+	switch slice := g.slice(c); {
+	case c.plan.CeilingRate == 0:
+	case slice > 0:
+		wait = max(wait, (units-slack-c.store)/(c.plan.CeilingRate*slice))
+	case g.alone: // else the home has said how long
+		wait = max(wait, (units-slack-c.spare)/(c.plan.CeilingRate*left))
 	}
 	if wait <= 0 { // it is the cap on attempts out, which says nothing of time
 		return retryAdvice
--- a/decide/standing_test.go
+++ b/decide/standing_test.go
@@ -206,3 +206,23 @@
 		t.Errorf("a flood of 0.5 is told as %v", c.over)
 	}
 }
+
+// TestAdviceUnderCeiling: who refuses by the home's word tells to return when the home has said, and who is cut off when its own slice
+// of the ceiling has room.
+func TestAdviceUnderCeiling(t *testing.T) {
+	j := join(t, inFleet, func(c *Config) {
+		c.PeerIntake = 7
+		c.Plans = []Plan{{Name: "p", Rate: 1000, Burst: 1000, CeilingRate: 20, CeilingBurst: 40, Price: 1}}
+	})
+	key := shortKey("x")
+	g := j.gws[(j.gws[0].home(key, 0)+1)%inFleet]
+	c := g.customer(key, 0)
+	c.shut = g.now + 300*ms
+	if got := g.roomIn(c, 2); got != 300*ms {
+		t.Errorf("the home said 300 ms, the client is told %v", got)
+	}
+	g.alone, c.shut, c.spare = true, 0, 1
+	if got := g.roomIn(c, 2); got != 400*ms { // one unit at 20/8 a second
+		t.Errorf("cut off, the client is told %v, want 400ms", got)
+	}
+}
