--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -126,6 +126,9 @@
 	return nil
 }
 
+// dress changes how a member takes part before it does: tests put broken links between the members of a fleet. nil: nothing.
+var dress func(*gossip.Config) error
+
 var errYielded = errors.New("a later process of this name is in the fleet")
 
 // join makes the gateway a member of a fleet, if the operators' file says so. The fleet gives it its number.
@@ -135,6 +138,11 @@
 		return nil
 	}
 	f.Name = r.cfg.Name
+	if dress != nil {
+		if err := dress(f); err != nil {
+			return err
+		}
+	}
 	member, err := gossip.New(*f, r.log)
 	if err != nil {
 		return err
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -15,19 +15,36 @@
 	"testing"
 	"time"
 
+	"sloepick/internal/gossip"
 	"sloepick/internal/stand"
+	"sloepick/internal/stand/links"
+	"sloepick/internal/stand/procs"
 	"sloepick/internal/stand/seeds"
 )
 
 // TestMain lets the test's own binary stand for the program, so that tests can start, reload and stop real processes.
 func TestMain(m *testing.M) {
 	if os.Getenv("DAEMON_TEST_MAIN") != "" {
+		dress = linked
 		os.Exit(Main(os.Args[1:], os.Getenv, os.Stderr))
 	}
 	flag.Parse()
 	os.Exit(m.Run())
 }
 
+// linked has a member's word go by the links that its rig set up.
+func linked(c *gossip.Config) error {
+	text := os.Getenv(procs.RoutesEnv)
+	if text == "" {
+		return nil
+	}
+	routes, err := links.ParseRoutes(text)
+	if err == nil {
+		c.Transport, err = links.NewTransport(c.Address, routes)
+	}
+	return err
+}
+
 // rig is a site with one gateway's process.
 type rig struct {
 	t        *testing.T
--- a/internal/stand/crowd.go
+++ b/internal/stand/crowd.go
@@ -158,7 +158,7 @@
 	return &c.Classes[len(c.Classes)-1]
 }
 
-const clientSlack = 100 * time.Millisecond // past its patience a client still reads, to tell late from lost
+const clientSlack = 2 * time.Second // past its patience a client still reads, to tell late from lost
 
 // ask sends one request. A connection that the gateway closed while the request was on its way is replaced once, as
 // the protocol has it.
--- a/internal/stand/links/links_test.go
+++ b/internal/stand/links/links_test.go
@@ -1,8 +1,11 @@
 package links
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 )
@@ -114,3 +117,81 @@
 		t.Errorf("%d of 60 lost by half", lost)
 	}
 }
+
+// echo answers every byte with itself, until its connections end.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestStreamsHaveFaults: a stream passes all, stands still while its way does and goes on after it, breaks at the byte that it was
+// told, each way by itself, and none is taken where they are refused.
+func TestStreamsHaveFaults(t *testing.T) {
+	var ways Ways
+	r, err := NewRelay(echo(t), &ways)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", r.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(patience))
+		return c
+	}
+	says := func(c net.Conn, text string) (back string) {
+		c.Write([]byte(text))
+		b := make([]byte, len(text))
+		n, _ := io.ReadFull(c, b)
+		return string(b[:n])
+	}
+	c := dial()
+	if got := says(c, "whole"); got != "whole" {
+		t.Errorf("%q came back", got)
+	}
+	for name, f := range map[string]Fault{"stalled": {Stall: true}, "cut": Cut} {
+		ways.Set(f, Fault{})
+		c.Write([]byte("held"))
+		c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if n, err := c.Read(make([]byte, 4)); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: %d bytes and %v", name, n, err)
+		}
+		c.SetReadDeadline(time.Now().Add(patience))
+		ways.Set(Fault{}, Fault{})
+		if _, err := io.ReadFull(c, make([]byte, 4)); err != nil {
+			t.Errorf("%s and mended: %v", name, err)
+		}
+	}
+	ways.Set(Fault{}, Fault{CutAt: 3})
+	if got := says(dial(), "answer"); got != "ans" {
+		t.Errorf("cut at the third byte on the way back, %q came", got)
+	}
+	ways.Set(Fault{CutAt: 2}, Fault{})
+	if got := says(dial(), "question"); len(got) > 2 {
+		t.Errorf("cut at the second byte on the way there, %q came back", got)
+	}
+	ways.Set(Fault{Refuse: true}, Fault{})
+	if got := says(dial(), "hello"); got != "" {
+		t.Errorf("refused, and %q came back", got)
+	}
+}
--- a/internal/stand/site.go
+++ b/internal/stand/site.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -16,6 +17,8 @@
 
 	version uint64
 	entries []Entry
+	pulse   *Pulse
+	once    sync.Once
 }
 
 const (
@@ -25,7 +28,7 @@
 
 // NewSite starts so many nodes, in two cells, and discovery.
 func NewSite(p *Platform, nodes int) (s *Site, err error) {
-	s = &Site{Platform: p, Tally: NewTally(), version: 1}
+	s = &Site{Platform: p, Tally: NewTally(), version: 1, pulse: NewPulse()}
 	defer func() {
 		if err != nil {
 			s.Close()
@@ -94,10 +97,15 @@
 }
 
 // Audit holds what clients and nodes saw to the five rules.
-func (s *Site) Audit(ends []Ended) []Verdict { return Audit(s.Platform.Rules, ends, s.Tally, s.Drains) }
+func (s *Site) Audit(ends []Ended) []Verdict {
+	rules := s.Platform.Rules
+	rules.Late = s.pulse.Within
+	return Audit(rules, ends, s.Tally, s.Drains)
+}
 
-// Close ends all.
+// Close ends all. Closing it again does nothing.
 func (s *Site) Close() {
+	s.once.Do(s.pulse.Close)
 	if s.Discovery != nil {
 		s.Discovery.Close()
 	}
--- a/internal/stand/stand_test.go
+++ b/internal/stand/stand_test.go
@@ -193,3 +193,28 @@
 		}}
 	c.Run(ctx)
 }
+
+// TestPulseTellsOfLateness: what was late in a time counts, what was before and after it does not; a late answer is excused by as much
+// as the machine was late, and no more.
+func TestPulseTellsOfLateness(t *testing.T) {
+	p := NewPulse()
+	defer p.Close()
+	begin := time.Now().Add(time.Hour) // of beats that this machine can't have missed
+	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+	for _, ms := range []int{0, 1000, 2000} {
+		p.note(late{at(ms), 200 * time.Millisecond})
+	}
+	for _, tc := range []struct{ from, to, want int }{{-100, -1, 0}, {-100, 10, 200}, {100, 150, 200}, {201, 999, 0}, {500, 1100, 200}, {-100, 3000, 600}} {
+		if got := p.Within(at(tc.from), at(tc.to)); got != time.Duration(tc.want)*time.Millisecond {
+			t.Errorf("%d to %d: %v, want %d ms", tc.from, tc.to, got, tc.want)
+		}
+	}
+	rules := Clinic().Rules
+	rules.Late = p.Within
+	for ms, want := range map[int]int{1250: 0, 1350: 1} {
+		ends := []Ended{{ID: "a", Kind: WasServed, Sent: at(500), At: at(500 + ms), Patience: time.Second}}
+		if got := Audit(rules, ends, NewTally(), nil)[0].Count; got != want {
+			t.Errorf("an answer %d ms past its client's patience, 200 of them the machine's: %d breaches, want %d", ms-1000, got, want)
+		}
+	}
+}
