Decide what a starting gateway believes, keep it on a disk, and pace its return

decide/memory.go: the module marks customers whose buckets changed and takes back what is believed (Recall), only ever to the fuller side; off unless Config.Remember is set. internal/recovery, pure: images judged by name, line and count, aged by the boot's clock or else the wall clock where both ends can be right; others' words; phases dark, believed, met, trickle, full with a pace from what all answered before, who is back and the nodes' cold curve, and an order (repeats of keyed requests, keyed, others; dear before cheap). internal/record: images in CBOR (fxamacker/cbor 2.9.6, RFC 8949) with CRC-32C, replaced whole, a lock, a keeper off the loop.

--- a/decide/api.go
+++ b/decide/api.go
@@ -108,6 +108,7 @@
 	Prices         Prices
 	ReportsOnProbe bool // load reports come with probe results only
 	Subscribe      bool // list changes come only when asked for
+	Remember       bool // what changes is marked for Gateway.Changed
 }
 
 func finite(field string, v float64) error {
@@ -358,6 +359,7 @@
 func (Standing) event()      {}
 func (Leaving) event()       {}
 func (Counted) event()       {}
+func (Recall) event()        {}
 
 // Presence is whether the gateway of a number is there.
 type Presence int
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -113,6 +113,8 @@
 		g.heard(e)
 	case Standing:
 		g.standing(e)
+	case Recall:
+		g.recall(e)
 	case Leaving:
 		g.leave()
 	}
@@ -291,6 +293,7 @@
 	}
 	c.usedSum += units
 	c.used.add(g.now, units)
+	g.noted(c)
 	g.tellSoon(c, 0, len(g.peers))
 }
 
@@ -418,6 +421,7 @@
 	c.whole = max(0, c.whole+diff(t.used, used))
 	t.rate.add(g.now, max(0, diff(t.asked, asked)))
 	t.used, t.asked, t.open = used, asked, open
+	g.noted(c)
 }
 
 // ---- Choice and health of servers.
--- a/decide/homes.go
+++ b/decide/homes.go
@@ -189,6 +189,7 @@
 	if ok {
 		c.whole += units
 		c.store -= units
+		g.noted(c)
 		g.tellTwin(c, units)
 	}
 	if !ok && g.askRate.get(g.now) > askIntake*g.cfg.PeerIntake {
--- a/decide/standing.go
+++ b/decide/standing.go
@@ -87,8 +87,10 @@
 	now := [homes]int16{int16(g.home(c.key, 0) + 1), int16(g.home(c.key, 1) + 1)}
 	if was := c.homes; was != now {
 		if me := int16(g.cfg.Rank + 1); was[0] != me && was[1] != me {
-			c.whole, c.store = max(c.whole, startLevel*c.plan.Burst), 0
+			if c.store = 0; !c.recalled { // what a start recalled is as good as a home's bucket, wherever that was
+				c.whole = max(c.whole, startLevel*c.plan.Burst)
+			}
 		}
-		c.homes = now
+		c.homes, c.recalled = now, false
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -63,6 +63,9 @@
 	heardAt, probedAt time.Duration // when any word came; when one was last asked for that no request waits for
 	unheards          int           // questions in a row in whose time no word came
 	floods            floods
+
+	leaked  float64     // seconds for which the buckets of strangers have leaked since they may have been half full
+	changed []*customer // whose buckets changed since Changed was last called
 }
 
 type class struct {
@@ -125,6 +128,8 @@
 	wait          float64      // seconds that the home lets refused ones wait
 	over          float64      // part of its latest requests that its quota did not bear: see watch
 	homes         [homes]int16 // as they were when it was last asked of this home
+	noted         bool         // it is among those that changed
+	recalled      bool         // what is known of it is from before the start
 }
 
 // grant is what a home let one gateway pass on.
@@ -299,9 +304,9 @@
 		told: make([]told, len(g.peers)), queued: make([]bool, len(g.peers))}
 	c.part, c.factor, c.toldAt = 1/float64(c.spread), 1, -partMemory
 	if !g.mesh {
-		c.whole = startLevel * p.Burst
+		c.whole = g.startFill(p)
 	}
-	c.level = c.part * startLevel * p.Burst // leaks, and the store fills, from the start on
+	c.level = c.part * g.startFill(p) // leaks, and the store fills, from the start on
 	g.customers[key] = c
 	g.queue = append(g.queue, c)
 	return c
@@ -336,7 +341,7 @@
 // asNew reports whether a customer stands as one would that comes for the first time now: nothing out or to be
 // told, buckets empty, store full.
 func (g *Gateway) asNew(c *customer) bool {
-	if c.open > 0 || g.now-c.last < forgetAfter || c.shut > g.now || slices.Contains(c.queued, true) {
+	if c.open > 0 || c.noted || g.now-c.last < forgetAfter || c.shut > g.now || slices.Contains(c.queued, true) {
 		return false
 	}
 	g.leak(c)
--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,270 @@
+package record
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sloepick/decide"
+	"sloepick/internal/recovery"
+)
+
+var errNth = errors.New("this call fails")
+
+// nth is a file system whose nth call fails; 0: none.
+type nth struct {
+	OS
+	n, calls int
+}
+
+func (f *nth) fails() error {
+	if f.calls++; f.calls == f.n {
+		return errNth
+	}
+	return nil
+}
+
+func (f *nth) CreateTemp(dir, pattern string) (File, error) {
+	if err := f.fails(); err != nil {
+		return nil, err
+	}
+	file, err := f.OS.CreateTemp(dir, pattern)
+	return &nthFile{file, f}, err
+}
+
+func (f *nth) Rename(from, to string) error { return errors.Join(f.fails(), f.OS.Rename(from, to)) }
+
+func (f *nth) SyncDir(dir string) error { return errors.Join(f.fails(), f.OS.SyncDir(dir)) }
+
+func (f *nth) Remove(name string) error { return errors.Join(f.fails(), f.OS.Remove(name)) }
+
+type nthFile struct {
+	File
+	fs *nth
+}
+
+// Write is cut in its middle where it fails.
+func (f *nthFile) Write(b []byte) (int, error) {
+	if err := f.fs.fails(); err != nil {
+		n, _ := f.File.Write(b[:len(b)/2])
+		return n, err
+	}
+	return f.File.Write(b)
+}
+
+func (f *nthFile) Chmod(m os.FileMode) error { return errors.Join(f.fs.fails(), f.File.Chmod(m)) }
+func (f *nthFile) Sync() error               { return errors.Join(f.fs.fails(), f.File.Sync()) }
+func (f *nthFile) Close() error              { return errors.Join(f.File.Close(), f.fs.fails()) }
+
+func image(count uint64) *recovery.Image {
+	return &recovery.Image{Name: "me", Mark: recovery.Mark{Line: 1, Count: count}, Every: time.Second, Work: 3,
+		Clock:   recovery.Clock{Wall: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC), Boot: "b", Up: time.Hour},
+		Buckets: []recovery.Bucket{{Key: 1<<36 - 1, Plan: "p", First: 2, Of: 3, Fill: 0.75}}, Seen: map[string]recovery.Seen{"o": {Work: 2}}}
+}
+
+// TestEachCallFails: whichever call of a write fails, what stands on the disk is the former image or the next one, whole, nothing else is
+// left beside it, and the next write goes through.
+func TestEachCallFails(t *testing.T) {
+	for n := 1; ; n++ {
+		name := filepath.Join(t.TempDir(), "power")
+		if _, err := Write(OS{}, name, image(1)); err != nil {
+			t.Fatal(err)
+		}
+		f := &nth{n: n}
+		_, err := Write(f, name, image(2))
+		img, verdict, errLoad := Load(OS{}, name)
+		if verdict != recovery.Kept || errLoad != nil || err == nil && img.Mark.Count != 2 {
+			t.Fatalf("call %d fails: %v; %v, %v", n, err, verdict, errLoad)
+		}
+		if left, _ := filepath.Glob(name + ".*"); len(left) > 0 {
+			t.Errorf("call %d fails: %v is left behind", n, left)
+		}
+		if _, err := Write(OS{}, name, image(3)); err != nil {
+			t.Errorf("after call %d failed: %v", n, err)
+		}
+		if err == nil {
+			t.Logf("%d calls", n-1)
+			if n < 6 {
+				t.Errorf("only %d calls could fail", n-1)
+			}
+			return
+		}
+	}
+}
+
+// TestTornAnywhere: an image that was cut at any byte, has any byte changed or more behind it is told to be spoilt, set aside with nothing
+// lost, and is no reason not to start.
+func TestTornAnywhere(t *testing.T) {
+	dir := t.TempDir()
+	name := filepath.Join(dir, "power")
+	if _, err := Write(OS{}, name, image(1)); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	spoilt := [][]byte{append(append([]byte(nil), whole...), 0)}
+	for i := range whole {
+		changed := append([]byte(nil), whole...)
+		changed[i] ^= 0x10
+		spoilt = append(spoilt, whole[:i], changed)
+	}
+	for i, b := range spoilt {
+		if err := os.WriteFile(name, b, fileMode); err != nil {
+			t.Fatal(err)
+		}
+		img, verdict, err := Load(OS{}, name)
+		if img != nil || verdict != recovery.Spoilt || !errors.Is(err, ErrSpoilt) {
+			t.Fatalf("case %d: %+v, %v, %v", i, img, verdict, err)
+		}
+		if kept, err := os.ReadFile(name + aside); err != nil || string(kept) != string(b) {
+			t.Fatalf("case %d: what was spoilt is lost: %v", i, err)
+		}
+		if _, verdict, err := Load(OS{}, name); verdict != recovery.Absent || err != nil {
+			t.Fatalf("case %d: then %v, %v", i, verdict, err)
+		}
+	}
+	t.Logf("%d spoilt images", len(spoilt))
+}
+
+func TestLockIsOneProcess(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "power.lock")
+	f, err := Lock(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Lock(name); err == nil || !strings.Contains(err.Error(), "another process") {
+		t.Errorf("locked twice: %v", err)
+	}
+	f.Close()
+	if f, err = Lock(name); err != nil {
+		t.Error(err)
+	}
+	f.Close()
+}
+
+// stalled is a file system whose files do not sync until they are let go.
+type stalled struct {
+	OS
+	reached, let chan struct{}
+}
+
+func (f stalled) CreateTemp(dir, pattern string) (File, error) {
+	file, err := f.OS.CreateTemp(dir, pattern)
+	return stalledFile{file, f}, err
+}
+
+type stalledFile struct {
+	File
+	fs stalled
+}
+
+func (f stalledFile) Sync() error {
+	f.fs.reached <- struct{}{}
+	<-f.fs.let
+	return f.File.Sync()
+}
+
+func keeper(fsys FS, name string, most int) *Keeper {
+	now := image(0).Clock
+	return NewKeeper(Config{FS: fsys, File: name, Every: time.Millisecond, Most: most, Name: "me", Life: 7,
+		Plans: []decide.Plan{{Name: "p", Rate: 1, Burst: 10}}, Clock: func() recovery.Clock { return now }}, slog.New(slog.DiscardHandler))
+}
+
+// TestStalledDiskHoldsNobody: while the disk takes nothing, what changes is noted at once, and others are told; then it is kept.
+func TestStalledDiskHoldsNobody(t *testing.T) {
+	f := stalled{reached: make(chan struct{}, 100), let: make(chan struct{})}
+	name := filepath.Join(t.TempDir(), "power")
+	k := keeper(f, name, 100)
+	k.Open(false)
+	k.Note([]decide.Memory{{Key: 1, Fill: 0.5}}, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		k.Serve(ctx)
+	}()
+	<-f.reached
+	for i := range 50 { // would never return if the keeper held its lock over the disk's wait
+		k.Note([]decide.Memory{{Key: uint64(i), Fill: 0.6}}, 2)
+	}
+	if img := k.Image(); len(img.Buckets) != 50 || img.Mark.Count != 0 {
+		t.Errorf("%d customers, %d images on the disk", len(img.Buckets), img.Mark.Count)
+	}
+	close(f.let)
+	stop()
+	<-ended
+	if img, err := Read(OS{}, name); err != nil || len(img.Buckets) != 50 || img.Mark.Line != 7 || img.Mark.Count != 2 {
+		t.Errorf("%+v, %v", img, err)
+	}
+}
+
+// TestKeeperIsBounded: where there are more customers than it may keep the emptiest go, and it says how many.
+func TestKeeperIsBounded(t *testing.T) {
+	k := keeper(OS{}, "", 80)
+	k.Open(false)
+	for i := range 1000 {
+		k.Note([]decide.Memory{{Key: uint64(i), Fill: float64(i%100) / 100}, {Key: 9000, Plan: 5}}, 0)
+	}
+	img := k.Image()
+	least := 1.0
+	for _, b := range img.Buckets {
+		least = min(least, b.Fill)
+	}
+	if s := k.Stats(); len(img.Buckets) > 80 || s.Customers > 80 || s.Dropped == 0 || least < 0.5 {
+		t.Errorf("%d customers, the emptiest %.2f full, %+v", len(img.Buckets), least, s)
+	}
+}
+
+// full fails as long as it is told to.
+type full struct {
+	OS
+	on *bool
+}
+
+func (f full) CreateTemp(dir, pattern string) (File, error) {
+	if *f.on {
+		return nil, errNth
+	}
+	return f.OS.CreateTemp(dir, pattern)
+}
+
+// TestFullDisk: while the disk is full the former image stays and the failure is one line; then all that changed meanwhile is kept, and a
+// process that has not taken what was before writes nothing over it.
+func TestFullDisk(t *testing.T) {
+	on, name := false, filepath.Join(t.TempDir(), "power")
+	var log strings.Builder
+	k := keeper(full{on: &on}, name, 100)
+	k.log = slog.New(slog.NewTextHandler(io.Writer(&log), nil))
+	k.Before(image(5))
+	k.Heard(map[string]recovery.Seen{"x": {}})
+	if k.write(); k.Stats().Images != 0 {
+		t.Error("it writes before what was there is taken")
+	}
+	k.Open(true)
+	k.write()
+	on = true
+	for range 3 {
+		k.Note([]decide.Memory{{Key: 1, Fill: 0.5}}, 1)
+		k.write()
+	}
+	if img, err := Read(OS{}, name); err != nil || len(img.Buckets) != 0 || img.Mark.Count != 6 {
+		t.Errorf("%+v, %v", img, err)
+	}
+	on = false
+	k.write()
+	img, err := Read(OS{}, name)
+	if err != nil || len(img.Buckets) != 1 || img.Mark != (recovery.Mark{Line: 1, Count: 7}) {
+		t.Errorf("%+v, %v", img, err)
+	}
+	if n := strings.Count(log.String(), "level=ERROR"); n != 1 || !strings.Contains(log.String(), "kept again") || k.Stats().Failed != 3 {
+		t.Errorf("%d failures of 3 are logged: %s", n, log.String())
+	}
+}
--- /dev/null
+++ b/internal/recovery/belief_test.go
@@ -0,0 +1,205 @@
+package recovery
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"sloepick/decide"
+)
+
+var plans = []decide.Plan{{Name: "small", Rate: 2, Burst: 10}, {Name: "large", Rate: 20, Burst: 40}}
+
+var noon = time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+
+const (
+	every  = 250 * time.Millisecond
+	lightS = 0.5 // seconds: lightFor times every
+)
+
+// written is what a member's disk holds: a full customer of each plan, written at noon under the first boot.
+func written() *Image {
+	return &Image{Name: "me", Mark: Mark{Line: 5, Count: 100}, Clock: Clock{Wall: noon, Boot: "a", Up: time.Hour}, Every: every, Work: 30,
+		Buckets: []Bucket{{Key: 1, Plan: "small", Fill: 1}, {Key: 2, Plan: "large", Fill: 0.5}, {Key: 3, Plan: "gone", Fill: 1}},
+		Seen:    map[string]Seen{"other": {Mark: Mark{1, 7}, Wall: noon.UnixMilli(), Work: 12}}}
+}
+
+// starts are the clocks at a start, and how long it was dark then, as far as they tell.
+var starts = map[string]struct {
+	now  Clock
+	dark time.Duration
+}{
+	"same boot, 3 s":                {Clock{noon.Add(time.Hour), "a", time.Hour + 3*time.Second}, 3 * time.Second},
+	"same boot, clock back":         {Clock{noon.Add(-time.Hour), "a", time.Hour + 3*time.Second}, 3 * time.Second},
+	"other boot, 3 s":               {Clock{noon.Add(3 * time.Second), "b", time.Second}, 3 * time.Second},
+	"other boot, an hour back":      {Clock{noon.Add(-time.Hour), "b", time.Second}, 0},
+	"other boot, never set":         {Clock{time.Unix(5, 0), "b", time.Second}, 0},
+	"no boot known, 3 s":            {Clock{noon.Add(3 * time.Second), "", 0}, 3 * time.Second},
+	"other boot, a week":            {Clock{noon.Add(7 * 24 * time.Hour), "b", time.Second}, 7 * 24 * time.Hour},
+	"before the light of snapshots": {Clock{noon.Add(every), "b", time.Second}, every},
+}
+
+// words are what others may tell.
+var words = []Word{
+	{Name: "living", Mark: Mark{1, 1}, Work: 5, Buckets: []Bucket{{Key: 2, Plan: "large", Fill: 0.9}, {Key: 4, Plan: "small", Fill: 0.3}}},
+	{Name: "living", Mark: Mark{1, 2}, Work: 6, Buckets: []Bucket{{Key: 2, Plan: "large", Fill: 0.7}}},
+	{Name: "recovering", Mark: Mark{2, 9}, Recovering: true, Buckets: []Bucket{{Key: 1, Plan: "small", Fill: 0.2}, {Key: 5, Plan: "gone", Fill: 1}}},
+	{Name: "knows me", Mark: Mark{3, 1}, Recovering: true, Seen: map[string]Seen{"me": {Mark: Mark{5, 101}, Work: 30}}},
+	{Name: "knew me", Mark: Mark{3, 1}, Recovering: true, Seen: map[string]Seen{"me": {Mark: Mark{5, 99}, Work: 30}}},
+	{Name: "me", Mark: Mark{9, 9}, Buckets: []Bucket{{Key: 9, Plan: "small", Fill: 1}}},
+}
+
+// orders are all orders of all subsets of so many things.
+func orders(n int) (all [][]int) {
+	var walk func(done []int)
+	walk = func(done []int) {
+		all = append(all, append([]int(nil), done...))
+	next:
+		for i := range n {
+			for _, d := range done {
+				if d == i {
+					continue next
+				}
+			}
+			walk(append(done, i))
+		}
+	}
+	walk(nil)
+	return all
+}
+
+// TestEveryOrderOfFacts: whatever the disk, the clocks and the others' words are, in every order of every subset of them, what is believed
+// is the same in any order; never less than a trusted disk proves or another tells; never by a disk that is not this member's last.
+func TestEveryOrderOfFacts(t *testing.T) {
+	count := 0
+	disks := map[string]func() (*Image, Verdict){
+		"kept":    func() (*Image, Verdict) { return written(), Kept },
+		"absent":  func() (*Image, Verdict) { return nil, Absent },
+		"spoilt":  func() (*Image, Verdict) { return nil, Spoilt },
+		"foreign": func() (*Image, Verdict) { i := written(); i.Name = "neighbour"; return i, Kept },
+	}
+	for clock, at := range starts {
+		for disk, make := range disks {
+			first := map[string]Belief{}
+			for _, order := range orders(len(words)) {
+				count++
+				img, v := make()
+				s := Begin(Self{"me", plans}, at.now, img, v)
+				var told [6]bool
+				for _, i := range order {
+					s.Hear(words[i])
+					told[i] = true
+				}
+				b := s.Believe(at.now)
+				name := fmt.Sprint(clock, ", disk ", disk, ", words ", order)
+				if old, ok := first[fmt.Sprint(told)]; !ok {
+					first[fmt.Sprint(told)] = b
+				} else if !reflect.DeepEqual(old, b) {
+					t.Fatalf("%s: %+v, in another order %+v", name, b, old)
+				}
+				check(t, name, disk, at.dark, told, s, b)
+			}
+		}
+	}
+	t.Logf("%d starts", count)
+}
+
+func check(t *testing.T, name, disk string, dark time.Duration, told [6]bool, s *Start, b Belief) {
+	t.Helper()
+	want := map[string]Verdict{"kept": Kept, "absent": Absent, "spoilt": Spoilt, "foreign": Foreign}[disk]
+	if want == Kept && told[3] {
+		want = Old
+	}
+	least, leaked := map[uint64]float64{}, 0.0
+	if want == Kept {
+		leaked = max(0, dark.Seconds()-lightS)
+		least[1], least[2] = max(0, 1-leaked*2/10), max(0, 0.5-leaked*20/40)
+	}
+	switch { // of one member's words the later one counts
+	case told[1]:
+		least[2] = max(least[2], 0.7)
+	case told[0]:
+		least[2], least[4] = max(least[2], 0.9), 0.3
+	}
+	if told[2] {
+		least[1] = max(least[1], 0.2)
+	}
+	got := map[uint64]float64{}
+	for _, m := range b.Recall.Known {
+		got[m.Key] = m.Fill
+	}
+	for key, fill := range least {
+		if d := got[key] - fill; d < -1e-9 || d > 1e-9 {
+			t.Fatalf("%s: customer %d is %.3f full, want %.3f", name, key, got[key], fill)
+		}
+	}
+	for key := range got {
+		if _, ok := least[key]; !ok {
+			t.Fatalf("%s: customer %d is known from nowhere", name, key)
+		}
+	}
+	if b.Verdict != want || b.Recall.Leaked != leaked {
+		t.Fatalf("%s: disk %v, want %v; strangers' buckets leaked for %v s, want %v", name, b.Verdict, want, b.Recall.Leaked, leaked)
+	}
+	if s.Lit() != (told[0] || told[1]) {
+		t.Fatalf("%s: lit %v", name, s.Lit())
+	}
+}
+
+// TestWorkBefore: what all answered before is this member's by its disk and the others' by their own word or another's; what is of long
+// ago does not count.
+func TestWorkBefore(t *testing.T) {
+	for clock, want := range map[string]float64{"other boot, 3 s": 30 + 12 + 6, "other boot, a week": 0, "other boot, never set": 30 + 12 + 6} {
+		now := starts[clock].now
+		s := Begin(Self{"me", plans}, now, written(), Kept)
+		s.Hear(Word{Name: "living", Mark: Mark{1, 2}, Wall: noon.UnixMilli(), Work: 6})
+		if b := s.Believe(now); b.Work != want {
+			t.Errorf("%s: %v units a second, want %v", clock, b.Work, want)
+		}
+	}
+}
+
+// TestWordsAreBounded: others can't make a member that starts hold more than it says, and after the start their customers are passed over.
+func TestWordsAreBounded(t *testing.T) {
+	s := Begin(Self{"me", plans}, starts["other boot, 3 s"].now, nil, Absent)
+	many := make([]Bucket, 4*tellMost)
+	for i := range many {
+		many[i] = Bucket{Key: uint64(i), Plan: "small", Fill: 1}
+	}
+	for i := range 2 * seenMost {
+		s.Hear(Word{Name: fmt.Sprint("m", i), Mark: Mark{1, 1}, Buckets: many})
+	}
+	held := 0
+	for _, w := range s.words {
+		held += len(w.Buckets)
+	}
+	if len(s.words) > seenMost || len(s.seen) > seenMost || held > wordsMost*tellMost {
+		t.Errorf("%d words, %d seen, %d customers are held", len(s.words), len(s.seen), held)
+	}
+	s.Over()
+	s.Hear(Word{Name: "m0", Mark: Mark{1, 2}, Buckets: many})
+	if n := len(s.Believe(starts["other boot, 3 s"].now).Recall.Known); n != 0 {
+		t.Errorf("%d customers are learned after the start", n)
+	}
+}
+
+// TestKindsStandInTheNote: the rows of the design note are those of the code.
+func TestKindsStandInTheNote(t *testing.T) {
+	note, err := os.ReadFile("../../docs/design/power.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range Kinds {
+		if !strings.Contains(string(note), "\n| "+k.What+" |") {
+			t.Errorf("the note has no row for %q", k.What)
+		}
+	}
+	for i, line := range strings.Split(string(note), "\n") {
+		if strings.HasPrefix(line, "| own ") && strings.Contains(line, "| |") {
+			t.Errorf("line %d of the note has an empty cell", i+1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/recovery/service_test.go
@@ -0,0 +1,171 @@
+package recovery
+
+import (
+	"testing"
+	"time"
+
+	"sloepick/internal/stand/seeds"
+)
+
+func service(work float64) *Service {
+	s := NewService(ServiceConfig{ColdFrom: 0.2, ColdFor: 10 * time.Second, MaxAdvice: time.Second, MaxUnits: 2, DearPrice: 2, Seed: 1})
+	s.Judged()
+	s.Meet(time.Hour, work, false)
+	s.Tick(time.Hour)
+	return s
+}
+
+// flow asks for far more than is let in, for a while, and returns the units a second that were.
+func flow(s *Service, now *time.Duration, d time.Duration, a Ask) float64 {
+	taken := 0.0
+	for end := *now + d; *now < end; *now += time.Millisecond {
+		if ok, _ := s.Admit(*now, a); ok {
+			taken += a.Units
+		}
+	}
+	return taken / d.Seconds()
+}
+
+// TestPaceOfReturn: the rate that is let in follows the nodes' cold curve over what was answered before, parted among those that are back;
+// while discovery is silent all nodes count as started at the return.
+func TestPaceOfReturn(t *testing.T) {
+	at := time.Hour
+	book := Ask{Keyed: true, Units: 2, Price: 2}
+	for name, tc := range map[string]struct {
+		prepare func(s *Service)
+		want    float64 // units a second in the second second
+	}{
+		"nobody told":                  {func(*Service) {}, 0.32 * 400},
+		"four back":                    {func(s *Service) { s.Alive(4) }, 0.32 * 100},
+		"nodes are warm":               {func(s *Service) { s.Nodes(true, []time.Duration{0, 0}) }, 400},
+		"one of two is cold":           {func(s *Service) { s.Nodes(true, []time.Duration{0, at}) }, 0.66 * 400},
+		"the list is from before":      {func(s *Service) { s.Nodes(false, []time.Duration{0, 0}) }, 0.32 * 400},
+		"cold for longer than we know": {func(s *Service) { s.Nodes(true, []time.Duration{at - 5*time.Second}) }, 0.72 * 400},
+	} {
+		s, now := service(400), at
+		tc.prepare(s)
+		flow(s, &now, time.Second, book)
+		if got := flow(s, &now, time.Second, book); got < 0.9*tc.want || got > 1.1*tc.want {
+			t.Errorf("%s: %.0f units a second let in, want about %.0f", name, got, tc.want)
+		}
+	}
+}
+
+// TestUnknownWorkGrowsByAnswers: where nobody knows what was answered before, what is let in doubles with what is answered.
+func TestUnknownWorkGrowsByAnswers(t *testing.T) {
+	s, now := service(0), time.Hour
+	last := flow(s, &now, 2*time.Second, Ask{Units: 1})
+	if last > 2*floorRate {
+		t.Errorf("%.0f units a second with nothing known", last)
+	}
+	for range 4 {
+		for range 100 {
+			now += 10 * time.Millisecond
+			s.Answered(now, last/100)
+		}
+		got := s.Rate(now)
+		if got < 1.2*last || got > 2.2*last {
+			t.Errorf("%.0f units a second after %.0f were answered", got, last)
+		}
+		last = got
+	}
+}
+
+// TestOrderOfService: repeats of keyed requests go before new ones, these before others, dear plans before cheap ones; nothing is let in
+// before the trickle, all after it, and refusals tell to return at times that are spread.
+func TestOrderOfService(t *testing.T) {
+	kinds := []Ask{{Keyed: true, Again: true, Units: 1, Price: 0.5}, {Keyed: true, Units: 1, Price: 2}, {Keyed: true, Units: 1, Price: 0.5}, {Units: 1, Price: 2}, {Units: 1, Price: 0.5}}
+	s, now := service(50), time.Hour
+	var taken [5]int
+	for range 4000 { // each kind asks for five times of what is let in
+		now += time.Millisecond
+		for i := len(kinds) - 1; i >= 0; i-- { // the last first, so that the order is not that of asking
+			if ok, _ := s.Admit(now, kinds[i]); ok {
+				taken[i]++
+			}
+		}
+	}
+	if taken[0] < 30 || taken[0] < 4*(taken[1]+taken[2]+taken[3]+taken[4]-5) {
+		t.Errorf("let in by kind: %v", taken)
+	}
+	s, now = service(50), time.Hour
+	advised := map[time.Duration]int{}
+	for i := range kinds[1:] {
+		s, now = service(50), time.Hour
+		pair := [2]int{}
+		for range 4000 {
+			now += time.Millisecond
+			for k := 1; k >= 0; k-- {
+				ok, after := s.Admit(now, kinds[i+k])
+				if ok {
+					pair[k]++
+				} else {
+					advised[after.Truncate(100*time.Millisecond)]++
+				}
+			}
+		}
+		if pair[0] < 2*pair[1] {
+			t.Errorf("kind %d was let in %d times, kind %d after it %d times", i, pair[0], i+1, pair[1])
+		}
+	}
+	if len(advised) < 8 {
+		t.Errorf("refusals tell to return at %v", advised)
+	}
+	if now += 10 * time.Second; s.Tick(now) == "" || s.Phase() != Full {
+		t.Errorf("phase %v after the nodes are warm", s.Phase())
+	}
+	if ok, _ := s.Admit(now, Ask{Units: 1e9}); !ok {
+		t.Error("in full service a request is held back")
+	}
+	early := NewService(ServiceConfig{MaxAdvice: time.Second})
+	if ok, after := early.Admit(0, kinds[0]); ok || after <= 0 || after > time.Second {
+		t.Errorf("in the dark: %v, return after %v", ok, after)
+	}
+	lit := NewService(ServiceConfig{ColdFor: time.Minute})
+	if lit.Meet(0, 100, true); lit.Phase() != Full {
+		t.Error("one that comes back to a fleet in full service holds requests back")
+	}
+}
+
+// TestServiceNeverOvershoots: whatever happens in whatever order, phases only rise, and in the trickle no more is let in over any time
+// than the highest rate in it and one bucket.
+func TestServiceNeverOvershoots(t *testing.T) { seeds.Play(t, []uint64{1, 2, 3, 4, 5}, overshoots) }
+
+func overshoots(t *testing.T, seed uint64) {
+	const most = 300.0 // units a second before
+	rnd := seeds.Rand(seed)
+	for range 50 {
+		s := NewService(ServiceConfig{ColdFrom: rnd.Float64(), ColdFor: time.Duration(rnd.IntN(20)) * time.Second, MaxUnits: 4, Seed: seed})
+		now, phase, taken, since := time.Duration(0), Dark, 0.0, time.Duration(0)
+		for range 3000 {
+			step := time.Duration(rnd.IntN(20)) * time.Millisecond
+			now += step
+			switch rnd.IntN(40) {
+			case 0:
+				s.Judged()
+			case 1:
+				s.Meet(now, most*rnd.Float64(), rnd.IntN(10) == 0)
+			case 2:
+				s.Tick(now)
+			case 3:
+				s.Alive(rnd.IntN(9))
+			case 4:
+				s.Nodes(rnd.IntN(2) == 0, []time.Duration{0, now})
+			}
+			if s.Phase() < phase {
+				t.Fatalf("phase %v after %v", s.Phase(), phase)
+			}
+			phase = s.Phase()
+			if phase < Trickle {
+				since = now
+			}
+			units := 1 + 3*rnd.Float64()
+			if ok, _ := s.Admit(now, Ask{Units: units, Keyed: true, Again: true}); ok && phase < Full {
+				taken += units
+				if may := most*bucketFor.Seconds() + most*(now-since).Seconds(); phase < Trickle || taken > may {
+					t.Fatalf("in phase %v, %.0f units let in where %.0f may be", phase, taken, may)
+				}
+			}
+		}
+	}
+}
