Bring a whole fleet back after a loss of power: quotas, places, and service at the nodes' pace

Found and mended on the way: - Where all nodes were cold nothing was sent for as long as they warm up (14 s): coldRate took what a warm one is sent, and there was none (decide.go). It goes by what was sent before, or by one request at a time; the module's test and the process test fail without. - A fleet's state did not say whose it is, a torn one ended the start, and a member whose disk was lost waited 15 s for a place: states are named, set aside, and hold the others' claims, which count as left until they are heard. - Half of the members back never had places: after 15 s who has its own by its disk takes it up alone where the missing ones can't have a majority. expect counts at a reload.

--- a/cmd/sloectl/fleet.go
+++ b/cmd/sloectl/fleet.go
@@ -63,5 +63,8 @@
 	if r.Standing.Alone {
 		stands += ", cut off: it keeps to its even part"
 	}
+	if r.Phase != "" {
+		stands += ", power " + r.Phase
+	}
 	fmt.Fprintf(out, "%s; %d messages to others were dropped here\n", stands, r.Lost)
 }
--- /dev/null
+++ b/cmd/sloectl/power.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"sloepick/internal/record"
+	"sloepick/internal/recovery"
+)
+
+const powerShown = 20 // customers: the fullest
+
+// powerVerb shows what a gateway kept for its next start: power show FILE. It changes nothing, and works beside a live gateway.
+func powerVerb(args []string, out, errs io.Writer) int {
+	if len(args) != 2 || args[0] != "show" {
+		fmt.Fprintln(errs, "usage: sloectl power show FILE")
+		return exitTrouble
+	}
+	img, err := record.Read(record.OS{}, args[1])
+	if err != nil {
+		fmt.Fprintf(errs, "sloectl: %s: %v\n", args[1], err)
+		return exitNo
+	}
+	printImage(out, img)
+	return exitOK
+}
+
+func printImage(out io.Writer, img *recovery.Image) {
+	fmt.Fprintf(out, "%s, image %d of the line begun in life %d, written %s, under boot %s\n", img.Name, img.Mark.Count, img.Mark.Line,
+		img.Clock.Wall.UTC().Format("2006-01-02 15:04:05.000 UTC"), img.Clock.Boot)
+	fmt.Fprintf(out, "%d customers, %.1f units answered a second, %d other members known, one image each %v\n", len(img.Buckets), img.Work, len(img.Seen), img.Every)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "CUSTOMER\tPLAN\tUSED OF ITS BURST")
+	for _, b := range recovery.Fullest(img.Buckets, powerShown) {
+		fmt.Fprintf(w, "%09x\t%s\t%.0f%%\n", b.Key, b.Plan, 100*b.Fill)
+	}
+	w.Flush()
+}
--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -47,3 +47,33 @@
 		t.Errorf("the cold server got %d in 2 s, a warm one %v: want some, %v at most", cold, usual, most)
 	}
 }
+
+// TestAllServersCold: where no server is warm, as after a loss of power, they are sent what was recalled of before, as far as they can do
+// it already, or a gateway's even part of one request at a time; and never nothing.
+func TestAllServersCold(t *testing.T) {
+	sent := map[float64]int{}
+	for _, sends := range []float64{0, 5} {
+		g, err := New(testConfig(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Hour
+		list := []Server{{ID: "s1", Started: now}, {ID: "s2", Started: now}, {ID: "s3", Started: now}}
+		g.Handle(now, FleetUpdate{Kind: FleetFull, Servers: list})
+		g.Handle(now, Recall{Sends: sends})
+		for i := range 3000 {
+			now += ms
+			id := fmt.Sprint("r", i)
+			for _, a := range g.Handle(now, Request{ID: id, Class: "get", Plan: "small", Customer: id, Units: 1, Deadline: now + time.Second}) {
+				if s, ok := a.(Send); ok {
+					sent[sends]++
+					g.Handle(now, AttemptEnded{ID: id, Server: s.Server, Outcome: OK, Took: 100 * ms, Done: true})
+				}
+			}
+		}
+	}
+	t.Logf("in 3 s sent by what was before: %v", sent)
+	if most := 3 * 3 * 5; sent[5] < 10 || sent[5] > most || sent[0] < 3 {
+		t.Errorf("in 3 s sent by what was before: %v, want 10 to %d, which warm ones would get, and some where nothing is known", sent, most)
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -545,7 +545,7 @@
 // gateway sends a usual server is its own share of the fleet's traffic, so that all gateways together stay
 // within the multiple without agreement.
 func (g *Gateway) coldRate(s *server) float64 {
-	warm := g.all.sends / max(g.all.warm, 1)
+	warm := g.warmSends()
 	chance := 1.0
 	if n := float64(g.nearMost()); n < g.all.serving {
 		warm *= g.all.serving / n // it has more of this gateway's traffic, and none of most others'
@@ -571,6 +571,7 @@
 		}
 	}
 	g.all = all
+	g.keepSends()
 }
 
 func (g *Gateway) cold(s *server) bool {
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -1,6 +1,9 @@
 package decide
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // What of a gateway's knowledge may outlive its process. The caller takes what changed from time to time and keeps it; after a
 // start it hands back what it still believes, which counts as far as it is the worse for the customer.
@@ -18,13 +21,18 @@
 	Known []Memory // as full as they are now
 	// Leaked is for how many seconds the buckets of all others have leaked since they may have been half full.
 	Leaked float64
+	Sends  float64 // usual requests a second that this gateway sent a warm server; 0: not known
 }
 
-const fillMost = 4.0 // bursts: true units may fill a bucket beyond its mark, but not this far
+const (
+	fillMost    = 4.0              // bursts: true units may fill a bucket beyond its mark, but not this far
+	sendsMemory = 10 * time.Second // of what is sent to a warm server: some answers of each
+	tookLeast   = 1e-3             // seconds that a usual request takes at least, where no warm server is known
+)
 
 // recall takes what is believed.
 func (g *Gateway) recall(e Recall) {
-	g.leaked = max(0, e.Leaked)
+	g.leaked, g.before = max(0, e.Leaked), max(g.before, e.Sends)
 	for _, m := range e.Known {
 		if m.Plan < 0 || m.Plan >= len(g.cfg.Plans) || math.IsNaN(m.Fill) {
 			continue
@@ -57,6 +65,30 @@
 	}
 }
 
+// warmSends is what this gateway sends a warm server, in usual requests a second. Where none is warm, as after a loss of power, it is
+// what it was before or, if that is not known, this gateway's even part of what a server can do that works on one request at a time.
+func (g *Gateway) warmSends() float64 {
+	if g.all.warm > 0 {
+		return g.all.sends / g.all.warm
+	}
+	took := g.usual
+	if took == 0 {
+		took = firstGuess * g.quickest
+	}
+	return max(g.before, 1/(max(took, tookLeast)*float64(g.cfg.Gateways)))
+}
+
+// keepSends follows what a warm server is sent, for a time when none is.
+func (g *Gateway) keepSends() {
+	if g.all.warm > 0 {
+		g.before += (1 - math.Exp(-(g.now-g.beforeAt).Seconds()/sendsMemory.Seconds())) * (g.all.sends/g.all.warm - g.before)
+	}
+	g.beforeAt = g.now
+}
+
+// Sends is what this gateway sends a warm server of late, in usual requests a second; 0: not known.
+func (g *Gateway) Sends() float64 { return g.before }
+
 // Changed appends to a list what changed since it was last taken, so many customers at most; the others wait for the next call.
 // There is nothing unless Config.Remember is set.
 func (g *Gateway) Changed(list []Memory, most int) []Memory {
--- a/decide/state.go
+++ b/decide/state.go
@@ -64,8 +64,10 @@
 	unheards          int           // questions in a row in whose time no word came
 	floods            floods
 
-	leaked  float64     // seconds for which the buckets of strangers have leaked since they may have been half full
-	changed []*customer // whose buckets changed since Changed was last called
+	before   float64       // usual requests a second that a warm server was sent of late, or before the start ...
+	beforeAt time.Duration // ... as of then
+	leaked   float64       // seconds for which the buckets of strangers have leaked since they may have been half full
+	changed  []*customer   // whose buckets changed since Changed was last called
 }
 
 type class struct {
--- a/internal/blocks/fleet.go
+++ b/internal/blocks/fleet.go
@@ -17,7 +17,7 @@
 			{Name: "address", Kind: operator.Text, Optional: true, Takes: operator.AtRestart, Doc: "The member's own socket for the fleet, as \"host:port\", by UDP and TCP. Required."},
 			{Name: "places", Kind: operator.Count, Default: "16", Least: "1", Most: "4096", Takes: operator.AtRestart,
 				Doc: "Numbers that there are to give, the same at all members. Spare ones cost nothing; members without one let nothing in."},
-			{Name: "expect", Kind: operator.Count, Default: "1", Least: "1", Most: "4096", Takes: operator.AtRestart,
+			{Name: "expect", Kind: operator.Count, Default: "1", Least: "1", Most: "4096",
 				Doc: "Members that the fleet is meant to have. Numbers are given only where more than half of them, and of those last known, are there."},
 			{Name: "seeds", Kind: operator.Text, List: true, Optional: true, Takes: operator.AtRestart, Doc: "Addresses of members by which it joins; one of them may be its own."},
 			{Name: "keys", Kind: operator.Text, Optional: true, Doc: "A file with keys of 16, 24 or 32 bytes in base64, one a line; the first is used to send, any to read. Read again at each reload. Left out: nothing is encrypted."},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,6 +98,11 @@
 		if err := r.join(ctx, end); err != nil {
 			return err
 		}
+		keep, err := r.power()
+		if err != nil {
+			return err
+		}
+		defer keep()
 	}
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	debug.SetGCPercent(gcPercent)
@@ -235,6 +240,7 @@
 	fronts  []*h2.Front
 	manager *service.Manager
 	member  *gossip.Engine // nil: of no fleet
+	lock    *os.File       // of the state that is kept; held open for as long as the process lives
 }
 
 func (r *reloader) run(ctx context.Context, hup <-chan os.Signal) {
@@ -285,7 +291,7 @@
 		takes = append(takes, take)
 	}
 	if r.member != nil {
-		if err := r.member.Reload(blocks.Generation(c)); err != nil {
+		if err := r.member.Reload(blocks.Generation(c), c.One("fleet").Count("expect")); err != nil {
 			return gateway.Reload{}, nil, err
 		}
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"sloepick/internal/gossip"
+	"sloepick/internal/recovery"
 	"sloepick/internal/stand"
 	"sloepick/internal/stand/links"
 	"sloepick/internal/stand/procs"
@@ -26,12 +27,28 @@
 func TestMain(m *testing.M) {
 	if os.Getenv("DAEMON_TEST_MAIN") != "" {
 		dress = linked
+		off()
 		os.Exit(Main(os.Args[1:], os.Getenv, os.Stderr))
 	}
 	flag.Parse()
 	os.Exit(m.Run())
 }
 
+// off sets the clocks as the rig has them: the wall clock is off, and each loss of power begins another boot.
+func off() {
+	by, err := time.ParseDuration(os.Getenv(procs.ClockEnv))
+	boot := os.Getenv(procs.BootEnv)
+	if err != nil || boot == "" {
+		return // of no rig
+	}
+	system := clocks
+	clocks = func() recovery.Clock {
+		c := system()
+		c.Wall, c.Boot = c.Wall.Add(by), boot
+		return c
+	}
+}
+
 // linked has a member's word go by the links that its rig set up.
 func linked(c *gossip.Config) error {
 	text := os.Getenv(procs.RoutesEnv)
--- /dev/null
+++ b/internal/daemon/power.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"sloepick/internal/blocks"
+	"sloepick/internal/gateway"
+	"sloepick/internal/gossip"
+	"sloepick/internal/record"
+	"sloepick/internal/recovery"
+)
+
+const bootFile = "/proc/sys/kernel/random/boot_id" // proc(5)
+
+// clocks is what clocks show now: the wall clock, and the boot's own, which goes on while the machine sleeps (CLOCK_BOOTTIME,
+// clock_gettime(2)). A system without them tells the wall clock alone.
+var clocks = func() recovery.Clock {
+	c := recovery.Clock{Wall: time.Now().Round(0)}
+	id, err := os.ReadFile(bootFile)
+	var up unix.Timespec
+	if err == nil && unix.ClockGettime(unix.CLOCK_BOOTTIME, &up) == nil {
+		c.Boot, c.Up = strings.TrimSpace(string(id)), time.Duration(up.Nano())
+	}
+	return c
+}
+
+// power makes the gateway come back as the operators' file says, and be asked by others of its fleet, if it is in one. What is kept is
+// written until the function that it returns is called, and once more then.
+func (r *reloader) power() (end func(), err error) {
+	b := blocks.PowerOf(r.now)
+	if b == nil {
+		return func() {}, nil
+	}
+	now := clocks()
+	set := &r.cfg.Settings.Decide
+	self := recovery.Self{Name: r.cfg.Name, Plans: set.Plans}
+	life := uint64(max(0, now.Wall.UnixMilli()))
+	if r.member != nil {
+		life = r.member.Life()
+	}
+	var img *recovery.Image
+	verdict := recovery.Absent
+	if b.File != "" {
+		if r.lock, err = record.Lock(b.File + ".lock"); err != nil {
+			return nil, err
+		}
+		if img, verdict, err = record.Load(record.OS{}, b.File); err != nil {
+			r.log.Error("power: the state is not used", "file", b.File, "err", err)
+		}
+	}
+	keeper := record.NewKeeper(record.Config{FS: record.OS{}, File: b.File, Every: b.Every, Most: b.Customers, Name: self.Name,
+		Life: life, Plans: set.Plans, Clock: clocks}, r.log)
+	start := recovery.Begin(self, now, img, verdict)
+	if img != nil && img.Name == self.Name {
+		keeper.Before(img)
+	} else if img != nil {
+		r.log.Error("power: the state is another member's and is set aside", "file", b.File, "member", img.Name)
+		if err := record.Aside(record.OS{}, b.File); err != nil {
+			r.log.Error("power: the state was not set aside", "err", err)
+		}
+	}
+	phase := &atomic.Int64{}
+	set.Remember = true
+	r.cfg.Power = &gateway.Power{Start: start, Keeper: keeper, Every: b.Every, Clock: clocks,
+		Service: recovery.ServiceConfig{ColdFrom: set.Safety.ColdFrom, ColdFor: set.Safety.ColdFor, MaxAdvice: set.Limits.MaxRetryAfter,
+			MaxUnits: set.MaxUnits, DearPrice: dearest(r.cfg), Seed: uint64(r.cfg.Seed)},
+		Phase: func(p recovery.Phase) { phase.Store(int64(p)) }}
+	if r.member != nil {
+		plans := recovery.PlansOf(set.Plans)
+		r.member.Remember(gossip.Memory{Phase: func() string { return recovery.Phase(phase.Load()).String() }, Word: func() recovery.Word {
+			return keeper.Image().Word(clocks(), plans, recovery.Phase(phase.Load()) < recovery.Full)
+		}})
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var kept sync.WaitGroup
+	kept.Go(func() { keeper.Serve(ctx) })
+	return func() {
+		stop()
+		kept.Wait()
+	}, nil
+}
+
+// dearest is the highest price of a plan.
+func dearest(cfg *gateway.Config) (price float64) {
+	for _, p := range cfg.Settings.Decide.Plans {
+		price = max(price, p.Price)
+	}
+	return price
+}
--- /dev/null
+++ b/internal/daemon/power_test.go
@@ -0,0 +1,243 @@
+package daemon
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sloepick/internal/stand"
+	"sloepick/internal/stand/links"
+	"sloepick/internal/stand/procs"
+	"sloepick/internal/stand/seeds"
+)
+
+// keeps is the block power with all as it is by default.
+const keeps = "power {\n keep = \"DISK/power\"\n}\n"
+
+// slack is what a customer may get beyond rate x time + burst over losses of power, as docs/operate/power.md has it: what sharing over
+// gateways errs by in peace, and at each loss 5 % of a burst and what leaks in two snapshots' time; and half of the part of a burst that
+// members have whose disk proves nothing.
+func slack(plan *stand.Plan, took time.Duration, losses, unproven float64) float64 {
+	return 0.1*plan.Rate*took.Seconds() + losses*(0.05*plan.Burst+2*every.Seconds()*plan.Rate) + unproven*plan.Burst/2
+}
+
+const every = 250 * time.Millisecond // from one snapshot to the next, by default
+
+// blackout is a rig whose power is lost under a crowd at five times its quota.
+type blackout struct {
+	*procs.Rig
+	t        *testing.T
+	platform *stand.Platform
+	losses   float64
+	unproven float64 // members of which nothing is proven, of all, summed over the losses
+}
+
+func newBlackout(t *testing.T, n int, seed uint64) *blackout {
+	platform := stand.Clinic()
+	b := &blackout{Rig: newFleet(t, platform, n, seed, keeps), t: t, platform: platform}
+	b.Start(0, b.All()...)
+	agreed(t, b.Rig, time.Minute, b.All()...)
+	return b
+}
+
+// lose has all lose their power, and start again one so long after the other.
+func (b *blackout) lose(spacing time.Duration, meanwhile func()) {
+	b.losses++
+	back := b.PowerLoss()
+	meanwhile()
+	b.Start(spacing, b.All()...)
+	back()
+}
+
+func nothing() {}
+
+func (b *blackout) said(i int, piece string) {
+	b.t.Helper()
+	if !strings.Contains(b.Run[i].Log.String(), piece) {
+		b.t.Errorf("%s does not say %q:\n%s", procs.Name(i), piece, b.Run[i].Log)
+	}
+}
+
+// tell logs what those who flood got beyond rate x time since a moment, in bursts.
+func (b *blackout) tell(name string, from time.Time, before map[string]float64) {
+	took, over := time.Since(from).Seconds(), ""
+	for _, plan := range b.platform.Plans {
+		got := b.Site.Tally.Units(flooding(b.platform, plan.Name)) - before[plan.Name] - plan.Rate*took
+		over += fmt.Sprintf(", %s %.2f", plan.Name, got/plan.Burst)
+	}
+	b.t.Logf("%s: bursts beyond rate x time in %.1f s%s", name, took, over)
+}
+
+func (b *blackout) units() map[string]float64 {
+	all := map[string]float64{}
+	for _, plan := range b.platform.Plans {
+		all[plan.Name] = b.Site.Tally.Units(flooding(b.platform, plan.Name))
+	}
+	return all
+}
+
+// judge holds each customer to its quota and the slack.
+func (b *blackout) judge(p *procs.Played) {
+	b.t.Helper()
+	for _, c := range p.Customers {
+		quota, got := p.Quota(&c)
+		may := quota + slack(p.Plan(&c), p.Took, b.losses, b.unproven)
+		b.t.Logf("%s, asks for %.1f units a second: got %.0f units of %.0f, and a slack to %.0f", c.Plan, c.Rate*unitsEach, got, quota, may)
+		if got > may {
+			b.t.Errorf("customer %s on %s got %.0f units, %.0f may be", c.ID, c.Plan, got, may)
+		}
+	}
+}
+
+// TestFleetPowerLoss: power is lost again and again under a crowd at five times its quota, and comes back in one way after the other. Each
+// request that a living gateway took has one answer, no key runs twice, ceilings hold; who floods gets no more at a loss than its page
+// allows.
+func TestFleetPowerLoss(t *testing.T) { seeds.Play(t, []uint64{1}, fleetPowerLoss) }
+
+func fleetPowerLoss(t *testing.T, seed uint64) {
+	n := max(8, *fleetSize)
+	b := newBlackout(t, n, seed)
+	old := ""
+	ways := []struct {
+		name string
+		do   func()
+	}{
+		{"at once", func() { b.lose(0, nothing) }},
+		{"one after the other", func() { b.lose(300*time.Millisecond, nothing) }},
+		{"again in the trickle, three times", func() {
+			for range 3 {
+				b.lose(0, nothing)
+				time.Sleep(300 * time.Millisecond)
+			}
+		}},
+		{"disks lost, old, a neighbour's, torn", func() {
+			b.unproven += 4 / float64(n)
+			b.lose(0, func() {
+				b.Lose(0)
+				b.Replace(1, old)
+				b.Replace(2, b.Disk(3))
+				b.Tear(4, 0.5)
+			})
+			agreed(t, b.Rig, time.Minute, b.All()...)
+			b.said(0, "disk absent")
+			b.said(1, "older than others know it")
+			b.said(2, "is another member's and is set aside")
+			b.said(4, "not a whole image")
+			for _, i := range []int{2, 4} {
+				for _, name := range []string{"power.bad", "state.bad"} {
+					if _, err := os.Stat(filepath.Join(b.Disk(i), name)); err != nil {
+						t.Errorf("what was spoilt is not set aside: %v", err)
+					}
+				}
+			}
+		}},
+		{"clocks an hour back, and never set", func() {
+			b.Clock[5], b.Clock[6] = -time.Hour, -time.Since(time.Unix(0, 0))
+			b.lose(0, nothing)
+		}},
+		{"over links that lose a third, and a way that is cut", func() {
+			b.Mesh.Set(links.Fault{Loss: 0.3, Slow: 20 * time.Millisecond}, nil, nil)
+			b.Mesh.Set(links.Cut, []int{1}, []int{4})
+			b.lose(0, nothing)
+			agreed(t, b.Rig, time.Minute, b.All()...)
+			b.Mesh.Set(links.Fault{}, nil, nil)
+		}},
+		{"but one, which stands still", func() {
+			b.losses++
+			others := b.All()[:n-1]
+			thaw := b.Freeze(n - 1)
+			back := b.Away(others...)
+			b.Kill(others...)
+			b.Start(0, others...)
+			back()
+			time.Sleep(3 * time.Second)
+			thaw()
+			must(t, b.Run[n-1].Log.Wait(b.Ctx, "standing aside until the fleet is heard", 1))
+		}},
+	}
+	b.judge(b.Play(floodsAndCalm(b.platform, n, 5), seed, func() {
+		time.Sleep(3 * time.Second) // buckets are at their marks
+		old = b.Copy(1)
+		for i, w := range ways {
+			before, from := b.units(), time.Now()
+			w.do()
+			if i < len(ways)-1 { // the frozen one's engine takes its time over who is who
+				agreed(t, b.Rig, time.Minute, b.All()...)
+			}
+			time.Sleep(2 * time.Second)
+			b.tell(w.name, from, before)
+		}
+	}))
+}
+
+// TestPowerReturnsToColdNodes: the nodes lose their power too and come back cold, half of them before the gateways and half after. None is
+// pushed over, service rises with their speed, and refusals tell to return.
+func TestPowerReturnsToColdNodes(t *testing.T) { seeds.Play(t, []uint64{1}, coldNodes) }
+
+func coldNodes(t *testing.T, seed uint64) {
+	const n = 4
+	b := newBlackout(t, n, seed)
+	lost, up := time.Duration(0), time.Duration(0)
+	p := b.Play(floodsAndCalm(b.platform, n, 5), seed, func() {
+		began := time.Now()
+		time.Sleep(4 * time.Second)
+		lost = time.Since(began)
+		b.lose(0, func() {
+			for i := range b.Site.Nodes[:4] {
+				_, err := b.Site.Nodes[i].Restart() // nobody tells of it: discovery's list is from before
+				must(t, err)
+			}
+		})
+		up = time.Since(began)
+		for i := range b.Site.Nodes {
+			must(t, b.Site.Restart(i))
+		}
+		time.Sleep(10 * time.Second)
+	})
+	b.judge(p)
+	for i := range n {
+		b.said(i, "power: trickle")
+	}
+	share := func(from, to time.Duration) float64 {
+		s, asked := p.Served(from, to, nil)
+		t.Logf("%v to %v: %.2f of %d served", from.Round(time.Millisecond), to.Round(time.Millisecond), s, asked)
+		return s
+	}
+	before, first, last := share(2*time.Second, lost), share(up, up+3*time.Second), share(up+7*time.Second, up+10*time.Second)
+	if before == 0 || last < 0.4*before || first > last+0.1 {
+		t.Errorf("%.2f of the requests were served before the loss, %.2f at first and %.2f at last", before, first, last)
+	}
+}
+
+// TestPowerReturnsToHalf: half of the members never come back. Those that do take up their own places after the stated time, as the others
+// can't have a majority, and serve at their even parts; when the others are back at last all is whole again.
+func TestPowerReturnsToHalf(t *testing.T) {
+	const n = 4
+	b := newBlackout(t, n, 1)
+	b.judge(b.Play(floodsAndCalm(b.platform, n, 5), 1, func() {
+		time.Sleep(2 * time.Second)
+		b.losses++
+		gone := b.Away(2, 3)
+		back := b.Away(0, 1)
+		b.Kill(b.All()...)
+		b.Start(0, 0, 1)
+		back()
+		for i := range 2 {
+			must(t, b.Run[i].Log.Wait(b.Ctx, "is taken up alone", 1))
+			must(t, b.Run[i].Log.Wait(b.Ctx, "power: full", 1))
+		}
+		b.losses++
+		b.Start(0, 2, 3)
+		gone()
+		agreed(t, b.Rig, time.Minute, b.All()...)
+		time.Sleep(time.Second)
+	}))
+}
+
+// flooding is the customer of a plan that asks for far more than its quota.
+func flooding(platform *stand.Platform, plan string) string {
+	return fmt.Sprintf("%016x", 2*indexOf(platform, plan)+1)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -107,8 +107,11 @@
 	Tick struct{}
 	// Jumped tells that the wall clock jumped, as it does over a machine's sleep.
 	Jumped struct{}
-	// Retune tells the generation of the configuration that counts from now on.
-	Retune struct{ Generation uint64 }
+	// Retune tells the generation of the configuration that counts from now on, and the members that it expects; 0: as before.
+	Retune struct {
+		Generation uint64
+		Expect     int
+	}
 	// Leave tells that the member ends. Its place is kept for it.
 	Leave struct{}
 )
@@ -223,6 +226,8 @@
 	heard    time.Duration
 	majority time.Duration // when there was one
 	alone    bool
+	others   bool // those that are not here can't have a majority
+	started  time.Duration
 	waking   bool          // it stood still, and has not heard how things are since
 	asked    bool          // Sync is out
 	stale    bool          // it was out before the process stood still
@@ -258,7 +263,7 @@
 	before := t.now
 	t.now = max(now, t.now)
 	if !t.begun {
-		t.begun, t.heard, t.majority = true, t.now, t.now
+		t.begun, t.started, t.heard, t.majority = true, t.now, t.now, t.now
 		if t.keep(t.cfg.Last); !t.kept {
 			t.do(Announce{t.self})
 		}
@@ -309,6 +314,9 @@
 	case Jumped:
 		t.wake("the clock jumped")
 	case Retune:
+		if e.Expect > 0 {
+			t.cfg.Expect = e.Expect
+		}
 		if t.self.Generation != e.Generation {
 			t.self.Generation = e.Generation
 			t.do(Announce{t.self})
@@ -455,7 +463,8 @@
 	if silent {
 		others = known - 1
 	}
-	if !t.alone || 2*others <= known {
+	t.others = 2*others <= known
+	if !t.alone || t.others {
 		t.majority = t.now
 	}
 }
@@ -481,7 +490,12 @@
 	case c.Place >= 0 && t.now-t.majority >= t.cfg.Lease:
 		t.note("place %d is given up: the lease ran out without a majority", c.Place)
 		t.lose()
-	case t.placed || !t.synced || t.waking || t.alone:
+	case t.placed || !t.synced || t.waking:
+	case t.alone:
+		if t.kept && c.Place >= 0 && t.others && t.now-t.started >= t.cfg.Patient {
+			t.note("place %d is taken up alone: no others can have a majority", c.Place)
+			t.placed, t.last = true, c
+		}
 	case c.Place >= 0 && (t.kept || t.now >= t.settleBy):
 		t.placed, t.last = true, c
 	case c.Place < 0 && t.now >= t.settleBy:
--- a/internal/fleet/script_test.go
+++ b/internal/fleet/script_test.go
@@ -93,6 +93,8 @@
 			cfg.Hold = d
 		case "forget":
 			cfg.Forget = d
+		case "patient":
+			cfg.Patient = d
 		default:
 			t.Fatalf("unknown setting %q", w)
 		}
@@ -124,6 +126,12 @@
 	switch words[0] {
 	case "tick":
 		return Tick{}
+	case "expect": // "expect 2": by hand, with another generation of the configuration
+		n, err := strconv.Atoi(words[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		return Retune{Generation: 1, Expect: n}
 	case "heard":
 		return Heard{}
 	case "synced":
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -37,6 +37,7 @@
 	Ready      func(d *Door)   // called once, when the gateway takes requests and, in a fleet, has a place; nil: nobody asks
 	Back       Back            // by which nodes are reached
 	Backs      map[string]Back // by which nodes of a kind are reached in its place
+	Power      *Power          // how it comes back after a loss of power; nil: with nothing known and all let in
 }
 
 // fileConfig is the form of the configuration file.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -46,6 +46,7 @@
 	rank     int   // that the module goes by
 	restarts int
 	tap      func(decide.Event, []decide.Action) // nil: none
+	power    *power                              // nil: off
 }
 
 const (
@@ -68,6 +69,9 @@
 	if err := l.startCore(); err != nil {
 		return nil, err
 	}
+	if cfg.Power != nil {
+		l.power = l.newPower(cfg.Power)
+	}
 	l.fleet(decide.FleetStale, cfg.Known)
 	l.drainTodo()
 	return l, nil
@@ -252,6 +256,12 @@
 		from.Ended(Ending{Kind: Refused, After: l.cfg.Settings.Decide.Limits.MaxRetryAfter})
 		return nil
 	}
+	if l.power != nil {
+		if ok, after := l.power.mayBegin(v); !ok {
+			from.Ended(Ending{Kind: Refused, After: after})
+			return nil
+		}
+	}
 	if _, open := l.ids[v.ID]; open { // two of one id must never meet one another's answer
 		from.Ended(Ending{Kind: Rejected, Why: "a request with this id is open", Taken: true})
 		return nil
@@ -393,6 +403,9 @@
 		now := l.clock.Now()
 		r.routes.Answered(r.route, r.v.Class, now-a.at, now)
 	}
+	if l.power != nil {
+		l.power.answered(a.req.v.Units)
+	}
 	l.answer(a.req, Ending{Kind: Served, Value: value})
 	l.endedWith(a, decide.OK, l.cfg.readUse(figures))
 }
@@ -410,5 +423,8 @@
 	if kind != decide.FleetDelta {
 		l.pool.keepOnly(listed)
 	}
+	if l.power != nil {
+		l.power.listed(kind)
+	}
 	l.feed(u)
 }
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -53,6 +53,15 @@
 	}
 	l.rank = s.Place
 	l.feed(e)
+	if l.power != nil {
+		alive := 0
+		for _, h := range s.Holders {
+			if h.Name != "" && h.State == fleet.Alive {
+				alive++
+			}
+		}
+		l.power.meet(alive)
+	}
 	l.readyOnce()
 }
 
--- /dev/null
+++ b/internal/gateway/power.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"sloepick/decide"
+	"sloepick/internal/recovery"
+)
+
+// Keeper keeps what outlives the process. Its methods never wait for a disk.
+type Keeper interface {
+	// Note takes customers whose buckets changed, the units that are answered a second, and the usual requests a second that a
+	// warm node is sent.
+	Note(changed []decide.Memory, work, sends float64)
+	// Heard takes what is known of other members.
+	Heard(seen map[string]recovery.Seen)
+	// Open tells that what is believed has been taken: from now on images are this process's. kept: by the disk's own.
+	Open(kept bool)
+}
+
+// Power is how a gateway comes back after a loss of power.
+type Power struct {
+	Start   *recovery.Start // with what the disk held
+	Service recovery.ServiceConfig
+	Keeper  Keeper
+	Every   time.Duration // from one Note to the next
+	Clock   func() recovery.Clock
+	Phase   func(recovery.Phase) // is told each phase; nil: nobody asks
+}
+
+const (
+	changedMost = 4096             // customers that one Note takes: the loop copies them
+	workFades   = 10 * time.Second // memory of what is answered
+	hearFor     = 5 * time.Second  // from its place on, a member still learns from others' words
+)
+
+// power is what the loop keeps of it. nil: nothing is kept, and all is let in at once.
+type power struct {
+	*Power
+	l       *loop
+	svc     *recovery.Service
+	met     time.Duration
+	belief  recovery.Belief
+	work    float64 // units answered a second, faded
+	workAt  time.Duration
+	changed []decide.Memory
+	phase   recovery.Phase
+}
+
+// newPower begins with the disk judged.
+func (l *loop) newPower(cfg *Power) *power {
+	now := l.clock.Now()
+	p := &power{Power: cfg, l: l, svc: recovery.NewService(cfg.Service), workAt: now}
+	p.svc.Judged()
+	p.tell("")
+	l.at(now, p.tick)
+	return p
+}
+
+// tick keeps what changed, and moves the phases on.
+func (p *power) tick() {
+	now := p.l.clock.Now()
+	p.l.at(now+p.Every, p.tick)
+	if p.svc.Phase() < recovery.Met {
+		if p.l.cfg.Member != nil {
+			return
+		}
+		p.meet(1) // without a fleet there is nobody to wait for
+	}
+	p.changed = p.l.core.Changed(p.changed[:0], changedMost)
+	p.Keeper.Note(p.changed, p.worked(now), p.l.core.Sends())
+	if note := p.svc.Tick(now); note != "" {
+		p.tell(note)
+	}
+}
+
+// worked is what is answered a second. While service returns it is what was answered before, if that is more: power may be lost again.
+func (p *power) worked(now time.Duration) float64 {
+	p.fade(now)
+	since := now - p.met
+	seen := 1 - math.Exp(-max(since, time.Second).Seconds()/workFades.Seconds()) // of a steady rate, so soon after the beginning
+	if p.svc.Phase() < recovery.Full || since < workFades {
+		return max(p.work/seen, p.belief.Own)
+	}
+	return p.work / seen
+}
+
+func (p *power) fade(now time.Duration) {
+	p.work *= math.Exp(-(now - p.workAt).Seconds() / workFades.Seconds())
+	p.workAt = now
+}
+
+// tell puts a phase that was reached into the log.
+func (p *power) tell(note string) {
+	p.phase = p.svc.Phase()
+	p.l.log.Info("power: "+p.phase.String(), "note", note)
+	if p.Phase != nil {
+		p.Phase(p.phase)
+	}
+}
+
+// meet takes what is believed, as the gateway has its place among so many members that are back.
+func (p *power) meet(alive int) {
+	p.svc.Alive(alive)
+	if p.svc.Phase() >= recovery.Met {
+		return
+	}
+	p.met = p.l.clock.Now()
+	p.recall()
+	p.svc.Meet(p.met, p.belief.Work, p.Start.Lit())
+	p.Keeper.Open(p.belief.Verdict == recovery.Kept)
+	p.tell(p.belief.String())
+}
+
+func (p *power) recall() {
+	p.belief = p.Start.Believe(p.Clock())
+	p.l.feed(p.belief.Recall)
+	p.Keeper.Heard(p.Start.Seen())
+}
+
+// heard takes another member's word. Long after the start only last lives are learned from it: what it knows of customers is told by
+// the module's own messages.
+func (p *power) heard(w recovery.Word) {
+	if !p.Start.Hear(w) {
+		return
+	}
+	p.Keeper.Heard(p.Start.Seen())
+	switch phase := p.svc.Phase(); {
+	case phase < recovery.Met:
+	case phase < recovery.Full && p.l.clock.Now()-p.met < hearFor:
+		p.recall()
+		p.svc.Work(p.belief.Work)
+	default:
+		p.Start.Over()
+	}
+}
+
+// answered counts the units of a request that was served.
+func (p *power) answered(units float64) {
+	now := p.l.clock.Now()
+	p.fade(now)
+	p.work += units / workFades.Seconds()
+	p.svc.Answered(now, units)
+}
+
+// listed tells the phases of the nodes that serve.
+func (p *power) listed(kind decide.FleetKind) {
+	if kind == decide.FleetFailed {
+		return
+	}
+	var starts []time.Duration
+	for _, s := range p.l.pool.listed() {
+		if s.State == decide.Serving {
+			starts = append(starts, s.Started)
+		}
+	}
+	p.svc.Nodes(kind != decide.FleetStale, starts)
+}
+
+// mayBegin reports whether it is a request's turn, and else when to return.
+func (p *power) mayBegin(v *Values) (ok bool, after time.Duration) {
+	if p.svc.Phase() == recovery.Full {
+		return true, 0
+	}
+	ask := recovery.Ask{Keyed: v.Write, Again: v.Again, Units: v.Units}
+	for i := range p.l.cfg.Settings.Decide.Plans {
+		if plan := &p.l.cfg.Settings.Decide.Plans[i]; plan.Name == v.Plan {
+			ask.Price = plan.Price
+		}
+	}
+	return p.svc.Admit(p.l.clock.Now(), ask)
+}
+
+// Word lets the loop take what another member told of the time before.
+func (d *Door) Word(w recovery.Word) {
+	d.Post(func() {
+		if d.l.power != nil {
+			d.l.power.heard(w)
+		}
+	})
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -22,10 +22,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/memberlist"
 
 	"sloepick/internal/fleet"
 	"sloepick/internal/gateway"
+	"sloepick/internal/recovery"
 )
 
 const (
@@ -73,7 +75,8 @@
 	list   *memberlist.Memberlist
 	table  *fleet.Table
 	saved  saved
-	known  []string     // the last known members, as they were kept
+	known  []string     // the last known members, as they were kept ...
+	before fleet.Past   // ... with their claims
 	status net.Listener // nil: none
 
 	events   chan fleet.Event
@@ -83,7 +86,7 @@
 	toKeep   atomic.Pointer[saved]
 	self     atomic.Pointer[fleet.Member]
 	standing atomic.Pointer[fleet.Standing]
-	past     atomic.Pointer[[]byte] // the state that is passed on
+	past     atomic.Pointer[fleet.Past] // that is passed on
 	report   atomic.Pointer[Report]
 	until    atomic.Int64  // of the standing, by the monotonic clock
 	stood    atomic.Uint64 // counts the standings
@@ -92,6 +95,7 @@
 	leaving  atomic.Bool
 	yielded  chan fleet.Member
 	start    time.Time
+	memory   atomic.Pointer[Memory] // nil: none
 
 	mu    sync.Mutex
 	nodes map[string]*memberlist.Node // by life
@@ -117,9 +121,29 @@
 
 // saved is what a member keeps on its disk.
 type saved struct {
+	Name    string      `json:"name"`
 	Life    uint64      `json:"life"`
 	Claim   fleet.Claim `json:"claim"`
 	Members []string    `json:"members"` // addresses
+	Held    []held      `json:"held"`    // what others claimed ...
+	At      int64       `json:"at"`      // ... by this wall clock, in milliseconds since 1970
+}
+
+// held is another member's claim, as it was known last: after a loss of power a place is kept for one whose disk is lost, too.
+type held struct {
+	Name  string      `json:"n"`
+	Life  uint64      `json:"l"`
+	Claim fleet.Claim `json:"c"`
+}
+
+// heldBefore is what the disk tells of others. They count as having left: whether they come back is not known, and until then they are
+// no part of a majority.
+func (e *Engine) heldBefore() (p fleet.Past) {
+	ago := max(0, time.Since(time.UnixMilli(e.saved.At)))
+	for _, h := range e.saved.Held {
+		p.Absent = append(p.Absent, fleet.Absent{Member: fleet.Member{Name: h.Name, Life: h.Life, Claim: h.Claim}, State: fleet.Left, Ago: ago})
+	}
+	return p
 }
 
 // Report is a member's view of its fleet, for operators.
@@ -128,6 +152,7 @@
 	Standing fleet.Standing
 	Rows     []fleet.Row
 	Now      time.Duration // on the clock of the rows
+	Phase    string        // how far service has returned; "": all is let in
 	Lost     uint64        // messages to others that found the queue full
 }
 
@@ -141,7 +166,7 @@
 	if err := e.load(); err != nil {
 		return nil, err
 	}
-	e.known = e.saved.Members
+	e.known, e.before = e.saved.Members, e.heldBefore()
 	e.life = max(uint64(time.Now().UnixMilli()), e.saved.Life+1) // later than the last, however the clock was set since
 	e.cfg.Table.Self = fleet.Member{Name: cfg.Name, Life: e.life, Generation: cfg.Generation, Version: metaVersion, Claim: fleet.None}
 	e.cfg.Table.Last = e.saved.Claim
@@ -152,7 +177,7 @@
 	e.self.Store(&e.cfg.Table.Self)
 	s := e.table.Standing()
 	e.standing.Store(&s)
-	e.past.Store(new([]byte))
+	e.past.Store(&fleet.Past{})
 	if cfg.StatusSocket != "" {
 		if e.status, err = listenStatus(cfg.StatusSocket); err != nil {
 			return nil, err
@@ -224,9 +249,21 @@
 	return keys, nil
 }
 
-// Reload takes the keys that stand in their file now, and a new generation of the configuration. To rotate a key, add the new one
+// Memory is what a member knows of the time before a loss of power.
+type Memory struct {
+	Word  func() recovery.Word // what others are told that start; what they tell goes to the gateway by its Door
+	Phase func() string        // how far service has returned, for the report
+}
+
+// Remember has the member tell what it knows, from now on.
+func (e *Engine) Remember(m Memory) { e.memory.Store(&m) }
+
+// Life is this process's: of two of one name the higher is the later.
+func (e *Engine) Life() uint64 { return e.life }
+
+// Reload takes the keys that stand in their file now, and a new generation of the configuration with the members that it expects. To rotate a key, add the new one
 // behind the old one everywhere, then put it first, then drop the old one.
-func (e *Engine) Reload(generation uint64) error {
+func (e *Engine) Reload(generation uint64, expect int) error {
 	if e.ring != nil {
 		keys, err := readKeys(e.cfg.KeyFile)
 		if err != nil {
@@ -248,7 +285,7 @@
 			}
 		}
 	}
-	e.events <- fleet.Retune{Generation: generation}
+	e.events <- fleet.Retune{Generation: generation, Expect: expect}
 	return nil
 }
 
@@ -297,6 +334,7 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	wall := time.Now()
+	e.handle(fleet.Told{Past: e.before})
 	e.handle(fleet.Tick{})
 	for {
 		select {
@@ -321,11 +359,12 @@
 func (e *Engine) tell() {
 	now := time.Since(e.start)
 	e.until.Store(int64(now + validFor))
-	e.report.Store(&Report{Name: e.cfg.Name, Standing: e.table.Standing(), Rows: e.table.Rows(), Now: now, Lost: e.lost.Load()})
-	past, err := json.Marshal(e.table.Past())
-	if err != nil {
-		past = nil // numbers and strings always marshal
+	r := &Report{Name: e.cfg.Name, Standing: e.table.Standing(), Rows: e.table.Rows(), Now: now, Lost: e.lost.Load()}
+	if m := e.memory.Load(); m != nil {
+		r.Phase = m.Phase()
 	}
+	e.report.Store(r)
+	past := e.table.Past()
 	e.past.Store(&past)
 }
 
@@ -461,9 +500,11 @@
 
 func lifeOf(name string, life uint64) string { return strconv.FormatUint(life, 36) + "." + name }
 
-// load reads what was kept. What can't be read is an error: to begin without it could give a place away.
+// load reads what was kept. What is torn or another member's is set aside with a line in the log: this member's place is then told by
+// the others, who keep it for its name. A file that can't be read now, and may be later, is an error.
 func (e *Engine) load() error {
-	e.saved = saved{Claim: fleet.None}
+	none := saved{Claim: fleet.None}
+	e.saved = none
 	if e.cfg.StateFile == "" {
 		return nil
 	}
@@ -471,27 +512,42 @@
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
-	if err == nil {
-		err = json.Unmarshal(text, &e.saved)
-	}
 	if err != nil {
 		return fmt.Errorf("the fleet's state in %s: %w", e.cfg.StateFile, err)
 	}
+	if err = json.Unmarshal(text, &e.saved); err == nil && e.saved.Name != "" && e.saved.Name != e.cfg.Name {
+		err = fmt.Errorf("it is the member's %q", e.saved.Name)
+	}
+	if err != nil {
+		e.saved = none
+		e.log.Error("fleet: the state is set aside", "file", e.cfg.StateFile, "as", e.cfg.StateFile+badSuffix, "err", err)
+		if err := os.Rename(e.cfg.StateFile, e.cfg.StateFile+badSuffix); err != nil {
+			return fmt.Errorf("the fleet's state in %s: %w", e.cfg.StateFile, err)
+		}
+	}
 	return nil
 }
 
+const badSuffix = ".bad" // behind the name of a file that is set aside
+
 // keep has the place and who is there kept soon, the newest of it: the table must not wait for a disk.
 func (e *Engine) keep() {
 	if e.cfg.StateFile == "" {
 		return
 	}
-	e.saved.Life, e.saved.Members = e.life, nil
+	e.saved.Name, e.saved.Life, e.saved.Members = e.cfg.Name, e.life, nil
 	e.mu.Lock()
 	for _, n := range e.nodes {
 		e.saved.Members = append(e.saved.Members, n.Address())
 	}
 	e.mu.Unlock()
 	slices.Sort(e.saved.Members)
+	e.saved.At, e.saved.Held = time.Now().UnixMilli(), nil
+	for _, r := range e.table.Rows() {
+		if !r.Self && r.State != fleet.Left && r.Claim.Place >= 0 {
+			e.saved.Held = append(e.saved.Held, held{r.Name, r.Life, r.Claim})
+		}
+	}
 	next := e.saved
 	e.toKeep.Store(&next)
 	select {
@@ -577,14 +633,43 @@
 func (d delegate) GetBroadcasts(int, int) [][]byte { return nil }
 
 // LocalState implements memberlist.Delegate.
-func (d delegate) LocalState(bool) []byte { return *d.e.past.Load() }
+func (d delegate) LocalState(bool) []byte {
+	s := state{Past: d.e.past.Load()}
+	if m := d.e.memory.Load(); m != nil {
+		var err error
+		if s.Word, err = cbor.Marshal(m.Word()); err != nil {
+			d.e.log.Error("fleet: what is known can't be told", "err", err)
+		}
+	}
+	b, err := json.Marshal(s)
+	if err != nil {
+		return nil // numbers and strings always marshal
+	}
+	return b
+}
+
+// state is what goes with an exchange of whole states, as JSON. Members of a version without Word pass over it.
+type state struct {
+	*fleet.Past
+	Word []byte `json:",omitempty"` // recovery.Word, in CBOR
+}
 
 // MergeRemoteState implements memberlist.Delegate.
 func (d delegate) MergeRemoteState(b []byte, _ bool) {
-	var p fleet.Past
-	if len(b) > 0 && json.Unmarshal(b, &p) == nil { // of another version: nothing is learned from it
-		d.e.events <- fleet.Told{Past: p}
+	s := state{Past: &fleet.Past{}}
+	if len(b) == 0 || json.Unmarshal(b, &s) != nil {
+		return // of another version: nothing is learned from it
+	}
+	var w recovery.Word
+	if len(s.Word) > 0 && d.e.memory.Load() != nil && cbor.Unmarshal(s.Word, &w) == nil {
+		d.e.mu.Lock()
+		door := d.e.door
+		d.e.mu.Unlock()
+		if door != nil {
+			door.Word(w)
+		}
 	}
+	d.e.events <- fleet.Told{Past: *s.Past}
 }
 
 // NotifyJoin implements memberlist.EventDelegate.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -194,7 +194,7 @@
 	for _, keys := range [][]string{{oldKey, newKey}, {newKey, oldKey}, {newKey}} {
 		for i, file := range []string{keyA, keyB} {
 			writeKeys(t, file, keys...)
-			if err := []*member{a, b}[i].Reload(uint64(len(keys[0]) + i)); err != nil {
+			if err := []*member{a, b}[i].Reload(uint64(len(keys[0])+i), 0); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -202,7 +202,7 @@
 	if err := os.WriteFile(keyA, []byte("not a key\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if err := a.Reload(1); err == nil || !strings.Contains(err.Error(), "keys:1") {
+	if err := a.Reload(1, 0); err == nil || !strings.Contains(err.Error(), "keys:1") {
 		t.Errorf("a file without a key: %v", err)
 	}
 	a.until("b's new configuration", func(r *Report) bool {
--- a/internal/record/keeper.go
+++ b/internal/record/keeper.go
@@ -34,6 +34,7 @@
 	buckets map[uint64]kept
 	seen    map[string]recovery.Seen
 	work    float64
+	sends   float64
 	dirty   bool
 	opened  bool
 	mark    recovery.Mark   // of the last image on the disk
@@ -81,12 +82,13 @@
 	}
 }
 
-// Note takes customers whose buckets changed, and what is answered by now, in units a second.
-func (k *Keeper) Note(changed []decide.Memory, work float64) {
+// Note takes customers whose buckets changed, the units that are answered a second, and the usual requests a second that a warm node
+// is sent.
+func (k *Keeper) Note(changed []decide.Memory, work, sends float64) {
 	now := k.cfg.Clock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.work = work
+	k.work, k.sends = work, sends
 	k.dirty = k.dirty || len(changed) > 0
 	for _, m := range changed {
 		if m.Plan < 0 || m.Plan >= len(k.cfg.Plans) {
@@ -143,7 +145,7 @@
 	if k.before != nil {
 		return k.before
 	}
-	img := &recovery.Image{Name: k.cfg.Name, Mark: k.mark, Clock: now, Every: k.cfg.Every + k.took, Work: k.work, Buckets: k.aged(now), Seen: k.seen}
+	img := &recovery.Image{Name: k.cfg.Name, Mark: k.mark, Clock: now, Every: k.cfg.Every + k.took, Work: k.work, Sends: k.sends, Buckets: k.aged(now), Seen: k.seen}
 	slices.SortFunc(img.Buckets, func(a, b recovery.Bucket) int { return int(int64(a.Key) - int64(b.Key)) })
 	return img
 }
--- a/internal/recovery/belief.go
+++ b/internal/recovery/belief.go
@@ -31,6 +31,7 @@
 	{"others' use of a customer", true, 0, "boot, else wall", "half full, leaking", "the fuller", "the fuller"},
 	{"ceilings' stores", false, 0, "none", "empty", "not asked", "empty"},
 	{"work answered before", true, workFor, "boot, else wall", "what others tell", "the disk's", "less"},
+	{"what a warm node is sent", true, 0, "none", "one request at a time", "not asked", "less"},
 	{"nodes: cold, draining, gone", false, 0, "discovery's", "the platform's list", "discovery's", "all cold"},
 	{"nodes: slow, out of reach", false, 0, "none", "unknown", "the module's words", "tried anew"},
 	{"list and its version", false, 0, "discovery's", "asked at once", "discovery's", "the older list"},
@@ -105,6 +106,7 @@
 	Clock   Clock
 	Every   time.Duration // from one to the next, with what the last one took to be on the disk
 	Work    float64       // units that this member answered a second
+	Sends   float64       // usual requests a second that it sent a warm node
 	Buckets []Bucket
 	Seen    map[string]Seen // other members, by name
 }
@@ -298,7 +300,7 @@
 	}
 	b.Recall.Known = s.known(fills)
 	if b.Verdict == Kept && now.Since(s.img.Clock) < workFor {
-		b.Own = s.img.Work
+		b.Own, b.Recall.Sends = s.img.Work, s.img.Sends
 	}
 	b.Work = b.Own + s.others(now)
 	return b
