--- a/decide/memory.go
+++ b/decide/memory.go
@@ -13,7 +13,7 @@
 	Key           uint64  // the customer's short name: 36 bits
 	Plan          int     // number of its plan
 	First, Spread int     // of its gateways, as in Request; Spread 0: not told
-	Fill          float64 // of the burst, by this gateway's own bucket or by that of all, whichever is fuller: 1 is full
+	Fill          float64 // of the burst, by what all gateways together let in: 1 is full
 }
 
 // Recall is what is believed of the time before the start. What is known already is only raised by it.
@@ -27,6 +27,7 @@
 const (
 	fillMost    = 4.0              // bursts: true units may fill a bucket beyond its mark, but not this far
 	sendsMemory = 10 * time.Second // of what is sent to a warm server: some answers of each
+	tiny        = 1e-9             // units: no bucket is so small
 	tookLeast   = 1e-3             // seconds that a usual request takes at least, where no warm server is known
 )
 
@@ -90,15 +91,20 @@
 func (g *Gateway) Sends() float64 { return g.before }
 
 // Changed appends to a list what changed since it was last taken, so many customers at most; the others wait for the next call.
-// There is nothing unless Config.Remember is set.
+// There is nothing unless Config.Remember is set. Where customers have homes, their homes alone know how full they are.
 func (g *Gateway) Changed(list []Memory, most int) []Memory {
 	n := min(most, len(g.changed))
 	for _, c := range g.changed[:n] {
 		c.noted = false
+		if !g.mesh && !g.alone && g.home(c.key, 0) != g.cfg.Rank && g.home(c.key, 1) != g.cfg.Rank {
+			continue
+		}
 		g.leak(c)
-		burst := max(c.plan.Burst, 1e-9)
-		own := min(1, c.level/(max(c.part, 1e-9)*burst)) // over 1 where the part has become smaller: that says nothing of all
-		list = append(list, Memory{Key: c.key, Plan: c.planNo, First: c.first, Spread: c.spread, Fill: max(c.whole/burst, own)})
+		fill := c.whole / max(c.plan.Burst, tiny)
+		if g.alone { // what others let in is not known: its own part tells
+			fill = max(fill, min(1, c.level/max(c.part*c.plan.Burst, tiny)))
+		}
+		list = append(list, Memory{Key: c.key, Plan: c.planNo, First: c.first, Spread: c.spread, Fill: fill})
 	}
 	g.changed = g.changed[:copy(g.changed, g.changed[n:])]
 	return list
--- a/internal/world/fleet_test.go
+++ b/internal/world/fleet_test.go
@@ -178,6 +178,8 @@
 	}
 
 	x.f.K.Run(x.f.K.Now() + 10*time.Second) // until the engines too know all new processes
+	x.powerLoss()
+	x.f.K.Run(x.f.K.Now() + 10*time.Second)
 	x.part(n / 2)
 	x.part(n - 1)
 
@@ -212,6 +214,31 @@
 	}
 }
 
+// powerLoss has all members lose their power at once and come back within a second, a tenth of them without a disk and so without a
+// claim: those with one are in their places, and nobody's place is used by two.
+func (x *trial) powerLoss() {
+	x.t.Helper()
+	n := len(x.f.Members)
+	held := map[*Member]int{}
+	for i, m := range x.f.Members {
+		held[m] = m.Last.Place
+		if m.Kill(); i%10 == 5 {
+			m.Last, held[m] = fleet.None, -1
+		}
+	}
+	packets, rnd := x.f.Packets, x.f.K.Stream("power")
+	for _, m := range x.f.Members {
+		x.f.K.After(time.Duration(rnd.Int64N(int64(time.Second))), func() { m.Start(0, 1) })
+	}
+	took := x.until("coming back from a loss of power", time.Minute, func() bool { return len(x.up()) == n && x.agreed() })
+	x.t.Logf("power lost everywhere: all agree after %v, by %.0f packets a member and second", took, float64(x.f.Packets-packets)/took.Seconds()/float64(n))
+	for m, place := range held {
+		if place >= 0 && m.Last.Place != place {
+			x.t.Errorf("%s held place %d and came back to %d", m.name, place, m.Last.Place)
+		}
+	}
+}
+
 // vacant reports that nobody takes a name for a holder.
 func (x *trial) vacant(name string) bool {
 	return !slices.ContainsFunc(x.up(), func(m *Member) bool {
