--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,7 @@
 	Settle  time.Duration // before a claim, with no new member or claim heard: those who start together know each other by then
 	Patient time.Duration // neither waits longer than this, in a fleet that is never quiet
 	Prove   time.Duration // ... and so long before it is used
+	Return  time.Duration // a member whose disk tells its place takes it up alone after this, where none of the others can have a majority
 	Silence time.Duration // with nothing heard from any member for so long, it is cut off
 	Gap     time.Duration // between two events: a longer one means that the process or its machine stood still
 	Lease   time.Duration // a place is kept for so long without a majority, if others may have one
@@ -36,7 +37,7 @@
 
 // Default are times for a local network: an engine that finds a loss within 10 s.
 func Default() Config {
-	return Config{Expect: 1, Last: None, Settle: time.Second, Patient: 15 * time.Second, Prove: 2 * time.Second, Silence: 3 * time.Second, Gap: 2 * time.Second,
+	return Config{Expect: 1, Last: None, Settle: time.Second, Patient: 30 * time.Second, Return: 15 * time.Second, Prove: 2 * time.Second, Silence: 3 * time.Second, Gap: 2 * time.Second,
 		Lease: 2 * time.Minute, Hold: 3 * time.Minute, Forget: 10 * time.Minute}
 }
 
@@ -133,8 +134,8 @@
 type (
 	// Announce is what all members are to be told of this one.
 	Announce struct{ Self Member }
-	// Sync asks for an exchange of the whole state with seeds and a few members; Synced is owed.
-	Sync struct{}
+	// Sync asks for an exchange of the whole state with a few members, and with the seeds too unless Few; Synced is owed.
+	Sync struct{ Few bool }
 	// Stand tells how this member stands, whenever that changes.
 	Stand struct{ Standing }
 	// Yield ends this member: a later process has its name.
@@ -232,6 +233,7 @@
 	asked    bool          // Sync is out
 	stale    bool          // it was out before the process stood still
 	askBy    time.Duration // while it is cut off or many are lost, others are asked again then
+	fewBy    time.Duration // while it waits for a place, a few are asked again then
 	leaving  bool
 	yielded  bool
 	full     bool  // there was no free place when it looked last
@@ -298,7 +300,7 @@
 		t.heard = t.now
 		return false
 	case Synced:
-		t.asked, t.askBy = false, t.now+t.cfg.Silence
+		t.asked, t.askBy, t.fewBy = false, t.now+t.cfg.Silence, t.now+t.cfg.Settle
 		if t.stale { // what was asked before a standstill says nothing of now
 			t.stale = false
 			t.ask()
@@ -350,10 +352,12 @@
 	t.ask()
 }
 
-func (t *Table) ask() {
+func (t *Table) ask() { t.sync(Sync{}) }
+
+func (t *Table) sync(s Sync) {
 	if !t.asked {
 		t.asked = true
-		t.do(Sync{})
+		t.do(s)
 	}
 }
 
@@ -455,8 +459,12 @@
 	if t.alone != was {
 		t.note("cut off: %v; %d of %d members are there, the last was heard %v ago", t.alone, alive, known, t.now-t.heard)
 	}
-	if t.now >= t.askBy && (t.alone || manyLost*lost >= known) {
+	switch {
+	case t.now >= t.askBy && (t.alone || manyLost*lost >= known):
 		t.ask()
+	case t.now >= t.fewBy && t.synced && !t.placed && !t.alone && !t.leaving:
+		// Of many that join at once the engine passes on what each says too slowly; whole states, from one to one, double what all know.
+		t.sync(Sync{Few: true})
 	}
 	// Where the others can't have a majority either, nobody is given this place.
 	others := known - alive
@@ -492,7 +500,7 @@
 		t.lose()
 	case t.placed || !t.synced || t.waking:
 	case t.alone:
-		if t.kept && c.Place >= 0 && t.others && t.now-t.started >= t.cfg.Patient {
+		if t.kept && c.Place >= 0 && t.others && t.now-t.started >= t.cfg.Return {
 			t.note("place %d is taken up alone: no others can have a majority", c.Place)
 			t.placed, t.last = true, c
 		}
--- a/internal/fleet/script_test.go
+++ b/internal/fleet/script_test.go
@@ -93,8 +93,8 @@
 			cfg.Hold = d
 		case "forget":
 			cfg.Forget = d
-		case "patient":
-			cfg.Patient = d
+		case "return":
+			cfg.Return = d
 		default:
 			t.Fatalf("unknown setting %q", w)
 		}
@@ -181,6 +181,9 @@
 	case Announce:
 		return fmt.Sprintf("announce %s", claim(a.Self.Claim))
 	case Sync:
+		if a.Few {
+			return "sync few"
+		}
 		return "sync"
 	case Yield:
 		return fmt.Sprintf("yield to life %d", a.To.Life)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -376,7 +376,7 @@
 			e.speak()
 		case fleet.Sync:
 			if e.syncing.CompareAndSwap(false, true) {
-				go e.sync()
+				go e.sync(a.Few)
 			}
 		case fleet.Stand:
 			e.stand(a.Standing)
@@ -426,18 +426,22 @@
 	}
 }
 
-// sync exchanges whole states with the seeds, the last known members and a few of those that are there.
-func (e *Engine) sync() {
-	to := slices.Clone(e.cfg.Seeds)
+// sync exchanges whole states with a few of those that are there, and unless that is enough with the seeds and the last known members.
+func (e *Engine) sync(few bool) {
+	var to []string
 	e.mu.Lock()
 	for _, n := range e.nodes { // in no order, so any of them
-		if len(to) >= len(e.cfg.Seeds)+syncWith {
+		if len(to) >= syncWith {
 			break
 		}
 		to = append(to, n.Address())
 	}
 	e.mu.Unlock()
-	if len(to) == len(e.cfg.Seeds) {
+	none := len(to) == 0
+	if !few || none {
+		to = append(to, e.cfg.Seeds...)
+	}
+	if none {
 		to = append(to, e.known...)
 	}
 	to = slices.DeleteFunc(to, func(a string) bool { return a == e.cfg.Address })
--- a/internal/world/fleet_test.go
+++ b/internal/world/fleet_test.go
@@ -11,7 +11,7 @@
 	"sloepick/internal/stand/seeds"
 )
 
-var large = flag.Bool("large", false, "play fleets of 2,000 members too")
+var large = flag.Bool("large", false, "play fleets of 600 and 2,000 members too")
 
 const start = time.Hour
 
@@ -125,11 +125,11 @@
 	})
 }
 
-// TestFleetInVirtualTime plays what happens to fleets. The times are bounds of a plain run; -large adds 2,000 members.
+// TestFleetInVirtualTime plays what happens to fleets. The times are bounds of a plain run; -large adds 600 and 2,000 members.
 func TestFleetInVirtualTime(t *testing.T) {
 	plays := map[int][]uint64{20: {1, 2, 3}, 200: {1}}
 	if *large {
-		plays[2000] = []uint64{1}
+		plays[600], plays[2000] = []uint64{1}, []uint64{1}
 	}
 	for n, list := range plays {
 		t.Run(fmt.Sprintf("members=%d", n), func(t *testing.T) {
@@ -141,7 +141,7 @@
 func playFleet(t *testing.T, seed uint64, n int) {
 	x := newTrial(t, seed, n)
 	x.joinAll()
-	t.Logf("all placed and agreed %v after the first start", x.until("joining", time.Minute, x.agreed))
+	t.Logf("all placed and agreed %v after the first start", x.until("joining", 5*time.Minute, x.agreed))
 
 	x.f.K.Run(x.f.K.Now() + 30*time.Second)
 	before := x.f.Packets
--- a/internal/world/members.go
+++ b/internal/world/members.go
@@ -202,7 +202,7 @@
 			m.inc++
 			m.spread(news{about: m.No, kind: isAlive, life: m.life, inc: m.inc, from: m.No, member: a.Self})
 		case fleet.Sync:
-			m.sync()
+			m.sync(a.Few)
 		case fleet.Stand:
 			if a.Place >= 0 {
 				m.Last = fleet.Claim{Place: a.Place, Term: a.Term}
@@ -223,8 +223,11 @@
 const syncWith = 3
 
 // sync exchanges whole states with seeds, or with members that are known.
-func (m *Member) sync() {
+func (m *Member) sync(few bool) {
 	to := slices.Clone(m.seeds)
+	if p, ok := m.pick(nil); few && ok {
+		to = []int{p}
+	}
 	for len(to) < syncWith {
 		p, ok := m.pick(to)
 		if !ok {
