Return power without discovery, to other nodes, seeds last; members of two versions keep places

More of what can meet a fleet whose power returns: discovery that answers nobody (Discovery.Hush), nodes under new ids at old addresses (Site.Replace), seeds that come back last.

A member told of another version was taken to claim nothing, so that its place could be given to another while it used it. Name, life, place and term now count in all versions, and a claim that can't be read is none (before: place 0). TestVersionsMixed fails without.

sloectl fleet status has each member's dropped messages, as it told with its last whole state.

--- a/cmd/sloectl/fleet.go
+++ b/cmd/sloectl/fleet.go
@@ -35,7 +35,7 @@
 		}
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "MEMBER\tSTATE\tPLACE\tTERM\tLIFE\tCONFIGURATION\tTOLD\tADDRESS")
+	fmt.Fprintln(w, "MEMBER\tSTATE\tPLACE\tTERM\tLIFE\tCONFIGURATION\tTOLD\tDROPPED\tADDRESS")
 	for _, row := range r.Rows {
 		place, term := "-", "-"
 		if row.Claim.Place >= 0 {
@@ -53,7 +53,13 @@
 		if row.Generation != generation {
 			conf += " (other)"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", row.Name, state, place, term, row.Life, conf, told, row.Addr)
+		dropped := "-"
+		if n, ok := r.Drops[row.Name]; ok {
+			dropped = fmt.Sprint(n)
+		} else if row.Self {
+			dropped = fmt.Sprint(r.Lost)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\n", row.Name, state, place, term, row.Life, conf, told, dropped, row.Addr)
 	}
 	w.Flush()
 	stands := fmt.Sprintf("%s is in place %d", r.Name, r.Standing.Place)
@@ -66,5 +72,5 @@
 	if r.Phase != "" {
 		stands += ", power " + r.Phase
 	}
-	fmt.Fprintf(out, "%s; %d messages to others were dropped here\n", stands, r.Lost)
+	fmt.Fprintln(out, stands)
 }
--- a/internal/daemon/power_test.go
+++ b/internal/daemon/power_test.go
@@ -222,6 +222,46 @@
 	}
 }
 
+// TestPowerReturnsWithoutDiscovery: the seeds come back last, discovery answers nobody for seconds, half of the nodes are others at the
+// addresses of before and all are cold. Nodes count as started at the return until discovery speaks, then as it tells; none is pushed over.
+func TestPowerReturnsWithoutDiscovery(t *testing.T) {
+	const n = 5
+	b := newBlackout(t, n, 1, keeps)
+	var lost time.Time
+	p := b.Play(floodsAndCalm(b.platform, n, 5), 1, func() {
+		time.Sleep(3 * time.Second)
+		b.losses++
+		lost = time.Now()
+		back := b.PowerLoss()
+		speak := b.Site.Discovery.Hush()
+		for i := range b.Site.Nodes {
+			if i%2 == 0 {
+				must(t, b.Site.Replace(i))
+			} else {
+				must(t, b.Site.Restart(i))
+			}
+		}
+		b.Start(0, 2, 3, 4, 1, 0)
+		back()
+		agreed(t, b.Rig, time.Minute, b.All()...)
+		for i := range n {
+			must(t, b.Run[i].Log.Wait(b.Ctx, "power: trickle", 1))
+		}
+		time.Sleep(5 * time.Second)
+		speak()
+		time.Sleep(4 * time.Second)
+	})
+	b.judge(p)
+	for i := range n {
+		if warm := b.platform.Rules.ColdFor * 9 / 10; time.Since(lost) < warm && strings.Contains(b.Run[i].Log.String(), "power: full") {
+			t.Errorf("%s is in full service while the nodes are cold", procs.Name(i))
+		}
+	}
+	if share, asked := p.Served(p.Took-3*time.Second, p.Took, nil); share == 0 {
+		t.Errorf("nothing of %d is served", asked)
+	}
+}
+
 // TestPowerReturnsOnTwoSides: power returns while a cut parts the fleet in halves, so that neither has a majority. Each member takes up its
 // own place after the stated time, as those on the other side can't have a majority either, and serves at its even part; together they
 // let in no more than the quota. When the cut is healed all is whole again.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,6 +3,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"encoding/base64"
 	"encoding/binary"
@@ -12,6 +13,7 @@
 	"io"
 	"log"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
@@ -31,7 +33,7 @@
 )
 
 const (
-	metaVersion  = 1                      // of what a member tells of itself; others are shown and hold no place here
+	metaVersion  = 1                      // of what a member tells of itself. Name, life, place and term stay as they are in all versions, so that places are one's own over an upgrade
 	tickEvery    = 200 * time.Millisecond // of the table
 	validFor     = time.Second            // what was told of the standing is good for so long after a tick
 	jumpMost     = time.Second            // by which the wall clock may part from the monotonic one between two ticks
@@ -48,6 +50,7 @@
 	// together tell things of one length, so each pads its own by another.
 	padMost       = 61
 	nameMost      = 128
+	dropsMost     = 4096 // members whose dropped messages are shown
 	messageMost   = 256
 	updateWithin  = time.Second
 	stateFileMode = 0o600
@@ -64,6 +67,8 @@
 	Generation   uint64 // of the configuration
 	Table        fleet.Config
 	Transport    memberlist.Transport // nil: sockets at Address
+
+	version int // that it tells; 0: metaVersion
 }
 
 // Engine is one member. Make it with New.
@@ -99,6 +104,7 @@
 
 	mu    sync.Mutex
 	nodes map[string]*memberlist.Node // by life
+	drops map[string]uint64           // messages that others dropped, by name, as they told last
 	door  *gateway.Door
 }
 
@@ -151,15 +157,16 @@
 	Name     string
 	Standing fleet.Standing
 	Rows     []fleet.Row
-	Now      time.Duration // on the clock of the rows
-	Phase    string        // how far service has returned; "": all is let in
-	Lost     uint64        // messages to others that found the queue full
+	Now      time.Duration     // on the clock of the rows
+	Phase    string            // how far service has returned; "": all is let in
+	Lost     uint64            // messages to others that found the queue full
+	Drops    map[string]uint64 // those of other members, by name, as they told with their last whole state
 }
 
 // New makes a member; it opens its socket and does not join yet.
 func New(cfg Config, log *slog.Logger) (*Engine, error) {
 	e := &Engine{cfg: cfg, log: log, events: make(chan fleet.Event, eventsMost), tells: make(chan tell, tellsMost),
-		dirty: make(chan struct{}, 1), unkept: make(chan struct{}, 1), nodes: map[string]*memberlist.Node{}, yielded: make(chan fleet.Member, 1), start: time.Now()}
+		dirty: make(chan struct{}, 1), unkept: make(chan struct{}, 1), nodes: map[string]*memberlist.Node{}, drops: map[string]uint64{}, yielded: make(chan fleet.Member, 1), start: time.Now()}
 	if len(cfg.Name) > nameMost {
 		return nil, fmt.Errorf("the fleet: the member's name has %d bytes, more than %d", len(cfg.Name), nameMost)
 	}
@@ -168,7 +175,7 @@
 	}
 	e.known, e.before = e.saved.Members, e.heldBefore()
 	e.life = max(uint64(time.Now().UnixMilli()), e.saved.Life+1) // later than the last, however the clock was set since
-	e.cfg.Table.Self = fleet.Member{Name: cfg.Name, Life: e.life, Generation: cfg.Generation, Version: metaVersion, Claim: fleet.None}
+	e.cfg.Table.Self = fleet.Member{Name: cfg.Name, Life: e.life, Generation: cfg.Generation, Version: cmp.Or(cfg.version, metaVersion), Claim: fleet.None}
 	e.cfg.Table.Last = e.saved.Claim
 	var err error
 	if e.table, err = fleet.New(e.cfg.Table); err != nil {
@@ -363,6 +370,9 @@
 	if m := e.memory.Load(); m != nil {
 		r.Phase = m.Phase()
 	}
+	e.mu.Lock()
+	r.Drops = maps.Clone(e.drops)
+	e.mu.Unlock()
 	e.report.Store(r)
 	past := e.table.Past()
 	e.past.Store(&past)
@@ -605,7 +615,7 @@
 // NodeMeta implements memberlist.Delegate.
 func (d delegate) NodeMeta(limit int) []byte {
 	m := d.e.self.Load()
-	b, err := json.Marshal(meta{metaVersion, m.Name, m.Life, m.Generation, m.Claim.Place, m.Claim.Term, strings.Repeat("-", int(m.Life%padMost)), d.e.leaving.Load()})
+	b, err := json.Marshal(meta{m.Version, m.Name, m.Life, m.Generation, m.Claim.Place, m.Claim.Term, strings.Repeat("-", int(m.Life%padMost)), d.e.leaving.Load()})
 	if err != nil || len(b) > limit {
 		return nil // a name is checked to be short
 	}
@@ -638,7 +648,7 @@
 
 // LocalState implements memberlist.Delegate.
 func (d delegate) LocalState(bool) []byte {
-	s := state{Past: d.e.past.Load()}
+	s := state{Past: d.e.past.Load(), From: d.e.cfg.Name, Lost: d.e.lost.Load()}
 	if m := d.e.memory.Load(); m != nil {
 		var err error
 		if s.Word, err = cbor.Marshal(m.Word()); err != nil {
@@ -655,6 +665,8 @@
 // state is what goes with an exchange of whole states, as JSON. Members of a version without Word pass over it.
 type state struct {
 	*fleet.Past
+	From string `json:",omitempty"` // who tells it ...
+	Lost uint64 `json:",omitempty"` // ... and how many of its messages found its queue full
 	Word []byte `json:",omitempty"` // recovery.Word, in CBOR
 }
 
@@ -673,6 +685,11 @@
 			door.Word(w)
 		}
 	}
+	d.e.mu.Lock()
+	if _, known := d.e.drops[s.From]; s.From != "" && (known || len(d.e.drops) < dropsMost) {
+		d.e.drops[s.From] = s.Lost
+	}
+	d.e.mu.Unlock()
 	d.e.events <- fleet.Told{Past: *s.Past}
 }
 
@@ -712,10 +729,10 @@
 		return m, false, false
 	}
 	m = fleet.Member{Name: name, Life: no, Addr: n.Address(), Claim: fleet.None}
-	var t meta
+	t := meta{Place: fleet.None.Place}
 	if json.Unmarshal(n.Meta, &t) == nil {
 		m.Generation, m.Version = t.Generation, t.Version
-		if t.Version == metaVersion && t.Place >= 0 {
+		if t.Place >= 0 {
 			m.Claim = fleet.Claim{Place: t.Place, Term: t.Term}
 		}
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -307,3 +307,23 @@
 		t.Error("a stopped daemon answers")
 	}
 }
+
+// TestVersionsMixed: a member of the next version, which tells more of itself, joins one of this version: each shows the other with its
+// version, their places are different, and neither makes the other lose its own.
+func TestVersionsMixed(t *testing.T) {
+	addrs := addresses(t, 2)
+	a := start(t, "a", addrs[0], func(c *Config) { c.Seeds = addrs })
+	first := a.until("a place for the first", placed).Standing.Place
+	b := start(t, "b", addrs[1], func(c *Config) { c.Seeds, c.version = addrs, metaVersion+1 })
+	second := b.until("a place for the second", placed).Standing.Place
+	shown := func(name string, version int) func(r *Report) bool {
+		return func(r *Report) bool {
+			_, row := alive(r, name)
+			return row != nil && row.Version == version && placed(r)
+		}
+	}
+	if r := a.until("the first shows the second", shown("b", metaVersion+1)); r.Standing.Place != first || first == second {
+		t.Errorf("the first has place %d, had %d, the second %d", r.Standing.Place, first, second)
+	}
+	b.until("the second shows the first", shown("a", metaVersion))
+}
--- a/internal/stand/h2node.go
+++ b/internal/stand/h2node.go
@@ -147,7 +147,7 @@
 
 // arrival reads a request in the mapping's words.
 func (n *Node) arrival(f *http2.MetaHeadersFrame) Arrival {
-	a := Arrival{Node: n.cfg.ID, Units: 1, At: time.Now()}
+	a := Arrival{Node: n.ID(), Units: 1, At: time.Now()}
 	for _, h := range f.Fields {
 		switch h.Name {
 		case ":path":
--- a/internal/stand/node.go
+++ b/internal/stand/node.go
@@ -118,7 +118,18 @@
 func (n *Node) Addr() string { return n.addr }
 
 // ID is its name in discovery's list.
-func (n *Node) ID() string { return n.cfg.ID }
+func (n *Node) ID() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cfg.ID
+}
+
+// Rename gives it another id.
+func (n *Node) Rename(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cfg.ID = id
+}
 
 // Counts are its figures since it was made.
 func (n *Node) Counts() Counts {
@@ -332,7 +343,7 @@
 	if len(args) < 4 || string(args[0]) != "Q.ASK" && string(args[0]) != "Q.DO" {
 		return Arrival{}, false
 	}
-	a := Arrival{Node: n.cfg.ID, Customer: string(args[1]), ID: string(args[2]), Units: 1, At: time.Now()}
+	a := Arrival{Node: n.ID(), Customer: string(args[1]), ID: string(args[2]), Units: 1, At: time.Now()}
 	for _, pair := range strings.Split(string(args[3]), ",") {
 		name, value, _ := strings.Cut(pair, "=")
 		switch name {
--- a/internal/stand/site.go
+++ b/internal/stand/site.go
@@ -96,6 +96,13 @@
 	return s.tell()
 }
 
+// Replace ends a node's process and starts another at its address, cold and under a new id, and tells it.
+func (s *Site) Replace(i int) error {
+	s.entries[i].ID += "b"
+	s.Nodes[i].Rename(s.entries[i].ID)
+	return s.Restart(i)
+}
+
 // Audit holds what clients and nodes saw to the five rules.
 func (s *Site) Audit(ends []Ended) []Verdict {
 	rules := s.Platform.Rules
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -153,6 +153,7 @@
 	version uint64
 	body    []byte
 	changed chan struct{}
+	hushed  chan struct{} // closed when it answers again; nil: it answers
 	closed  chan struct{} // ends the watches that wait
 	once    sync.Once
 }
@@ -196,6 +197,22 @@
 	return nil
 }
 
+// Hush has it answer nobody until the function that it returns is called: calls that come meanwhile wait.
+func (d *Discovery) Hush() (speak func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	hushed := make(chan struct{})
+	d.hushed = hushed
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.hushed == hushed {
+			d.hushed = nil
+		}
+		close(hushed)
+	}
+}
+
 // ServeHTTP answers a call at once or, if it is a watch, when there is news.
 func (d *Discovery) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	select {
@@ -208,8 +225,18 @@
 	defer over.Stop()
 	for {
 		d.mu.Lock()
-		version, body, changed := d.version, d.body, d.changed
+		version, body, changed, hushed := d.version, d.body, d.changed, d.hushed
 		d.mu.Unlock()
+		if hushed != nil {
+			select {
+			case <-hushed:
+			case <-d.closed:
+				return
+			case <-req.Context().Done():
+				return
+			}
+			continue
+		}
 		if err != nil || version > after {
 			w.Write(body)
 			return
