Decide one owner of a piece of the fleet's work, with a number that only rises, checked in all orders

internal/owner is pure and not wired into the daemon yet. The walks found two faults while it was written: a new process renewed what its former life was granted, under the same number (a holder is name and life now), and an owner whose lease had run out took a late renewal for it (its question ends with the lease).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,7 +25,7 @@
 	Last   Claim  // that it used before, by its own disk; None: none
 
 	Settle  time.Duration // before a claim, with no new member or claim heard: those who start together know each other by then
-	Patient time.Duration // neither waits longer than this, in a fleet that is never quiet
+	Patient time.Duration // neither waits longer than this, in a fleet that is never quiet and has some hundred members
 	Prove   time.Duration // ... and so long before it is used
 	Return  time.Duration // a member whose disk tells its place takes it up alone after this, where none of the others can have a majority
 	Silence time.Duration // with nothing heard from any member for so long, it is cut off
@@ -194,8 +194,9 @@
 }
 
 const (
-	manyLost = 4 // where one in so many is lost, others are asked what they know
-	doubtFor = 3 // times Config.Silence, in which they are asked once: so long hearsay counts
+	manyLost   = 4   // where one in so many is lost, others are asked what they know
+	patientFor = 400 // members, for whom Config.Patient is: twice as many wait twice as long
+	doubtFor   = 3   // times Config.Silence, in which they are asked once: so long hearsay counts
 )
 
 // record is what is known of a name.
@@ -410,7 +411,12 @@
 
 // unsettle puts a claim off, as the table is still changing.
 func (t *Table) unsettle() {
-	t.settleBy = max(t.settleBy, min(t.now+t.cfg.Settle, t.waited+t.cfg.Patient))
+	t.settleBy = max(t.settleBy, min(t.now+t.cfg.Settle, t.waited+t.patience()))
+}
+
+// patience is how long a member waits for a quiet table: longer among many, as what each says takes longer to reach all.
+func (t *Table) patience() time.Duration {
+	return t.cfg.Patient * time.Duration(max(1, (1+len(t.members))/patientFor))
 }
 
 // learn keeps the highest term of a place, whoever tells it.
--- /dev/null
+++ b/internal/owner/check_test.go
@@ -0,0 +1,444 @@
+package owner
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"sloepick/internal/stand/seeds"
+)
+
+var (
+	statesMost = flag.Int("states", 60_000, "states that the model checking looks at from each of its starts")
+	walkSteps  = flag.Int("walk", 40_000, "steps of each random walk")
+)
+
+const unit = time.Second // of real time, by which it moves on
+
+// small are the figures of the model: clocks differ by a fifth at most.
+func small() Config {
+	return Config{Voters: 3, Duties: []string{"d"}, Lease: 6 * unit, Drift: 0.2, Renew: 2 * unit, Answer: unit, Step: unit}
+}
+
+// rates are how fast members' clocks run: the fastest and the slowest differ by less than the drift.
+var rates = []float64{1.1, 0.92, 1, 1.05, 0.95}
+
+// flight is a message on its way.
+type flight struct {
+	from, to int
+	msg      Msg
+}
+
+// model is members, what is on its way between them, and what was seen of them.
+type model struct {
+	cfg     Config
+	now     time.Duration // real time
+	members []*member
+	net     []flight
+	budget  [4]int // of crashes with and without memory, standstills, doubles that are left
+	last    uint64 // number of the last ownership
+	lives   uint64
+	fence   Fence
+	bad     string // a broken invariant
+}
+
+type member struct {
+	t      *Table
+	from   time.Duration // real time of its start
+	frozen bool
+}
+
+const (
+	crashes = iota
+	amnesia
+	standstills
+	doubles
+)
+
+func newModel(cfg Config, n int, budget [4]int) *model {
+	w := &model{cfg: cfg, budget: budget}
+	for i := range n {
+		w.members = append(w.members, &member{})
+		w.start(i, nil)
+	}
+	return w
+}
+
+func name(i int) string { return fmt.Sprint("m", i) }
+
+// clock is what a member's clock shows.
+func (w *model) clock(i int) time.Duration {
+	return time.Duration(float64(w.now-w.members[i].from) * rates[i])
+}
+
+func (w *model) start(i int, floor map[string]uint64) {
+	cfg := w.cfg
+	w.lives++
+	cfg.Self, cfg.Life = name(i), w.lives
+	t, err := New(cfg, 0, floor)
+	if err != nil {
+		panic(err)
+	}
+	*w.members[i] = member{t: t, from: w.now}
+	var alive []string
+	for k := range w.members {
+		alive = append(alive, name(k))
+	}
+	w.tell(i, Stand{Place: i, Alive: alive})
+}
+
+// tell hands a member an event.
+func (w *model) tell(i int, e Event) {
+	for _, a := range w.members[i].t.Handle(w.clock(i), e) {
+		switch a := a.(type) {
+		case Tell:
+			w.net = append(w.net, flight{i, a.To, a.Msg})
+		case Own:
+			if a.Number <= w.last {
+				w.bad = fmt.Sprintf("%s owns under %d, and %d was used", name(i), a.Number, w.last)
+			}
+			w.last = max(w.last, a.Number)
+			w.act(i)
+		}
+	}
+	w.look()
+}
+
+// act has an owner send an action to a receiver, which keeps the highest number.
+func (w *model) act(i int) {
+	if n, ok := w.members[i].t.May(w.clock(i), "d"); ok {
+		if above, ok := w.fence.Take("d", Mark{n, w.members[i].t.Who()}); !ok {
+			w.bad = fmt.Sprintf("the owner %s under %d is turned away below %v", name(i), n, above)
+		}
+	}
+}
+
+// look holds that no two may act at this moment, whoever stands still.
+func (w *model) look() {
+	var who []string
+	for i, m := range w.members {
+		if n, ok := m.t.May(w.clock(i), "d"); ok {
+			who = append(who, fmt.Sprint(name(i), " under ", n))
+		}
+	}
+	if len(who) > 1 {
+		w.bad = strings.Join(who, " and ") + " own at once"
+	}
+}
+
+// pass lets a unit of real time pass. Who does not stand still notices.
+func (w *model) pass() {
+	w.now += unit
+	w.look()
+	for i, m := range w.members {
+		if !m.frozen {
+			w.tell(i, Tick{Wall: uint64(w.now / time.Millisecond)})
+		}
+	}
+}
+
+// move is something that may happen next.
+type move struct {
+	name string
+	do   func(w *model)
+}
+
+// moves are all that may happen in a state. What is on its way may come in any order, late, twice or never.
+func (w *model) moves() (all []move) {
+	all = append(all, move{"time passes", (*model).pass})
+	for k, f := range w.net {
+		if w.members[f.to].frozen {
+			continue
+		}
+		take := func(w *model) {
+			f := w.net[k]
+			w.net = slices.Delete(slices.Clone(w.net), k, k+1)
+			w.tell(f.to, Heard{From: f.from, Msg: f.msg})
+		}
+		what := fmt.Sprintf("%s hears %c %d of %s from %s", name(f.to), f.msg.Kind, f.msg.Number, f.msg.Who, name(f.from))
+		all = append(all, move{what, take})
+		if w.budget[doubles] > 0 {
+			all = append(all, move{what + ", and it will come again", func(w *model) {
+				w.budget[doubles]--
+				f := w.net[k]
+				w.tell(f.to, Heard{From: f.from, Msg: f.msg})
+			}})
+		}
+	}
+	for i, m := range w.members {
+		if m.frozen {
+			all = append(all, move{name(i) + " goes on", func(w *model) { w.members[i].frozen = false }})
+		} else if w.budget[standstills] > 0 {
+			all = append(all, move{name(i) + " stands still", func(w *model) { w.budget[standstills]--; w.members[i].frozen = true }})
+		}
+		if w.budget[crashes] > 0 {
+			all = append(all, move{name(i) + " starts anew with what it knew", func(w *model) { w.budget[crashes]--; w.start(i, w.members[i].t.Floor()) }})
+		}
+		if w.budget[amnesia] > 0 {
+			all = append(all, move{name(i) + " starts anew and knows nothing", func(w *model) { w.budget[amnesia]--; w.start(i, nil) }})
+		}
+	}
+	return all
+}
+
+func (w *model) clone() *model {
+	c := *w
+	c.net = slices.Clone(w.net)
+	c.fence.taken, c.fence.Turned = maps.Clone(w.fence.taken), maps.Clone(w.fence.Turned)
+	c.members = nil
+	for _, m := range w.members {
+		n, t := *m, *m.t
+		t.out, t.votes, t.bids = nil, map[string]*vote{}, map[string]*bid{}
+		for d, v := range m.t.votes {
+			x := *v
+			t.votes[d] = &x
+		}
+		for d, b := range m.t.bids {
+			x := *b
+			x.grants, x.granted = slices.Clone(b.grants), slices.Clone(b.granted)
+			t.bids[d] = &x
+		}
+		n.t = &t
+		c.members = append(c.members, &n)
+	}
+	return &c
+}
+
+// key tells states apart. Rounds and who is alive follow from the rest.
+func (w *model) key() string {
+	b := binary.AppendVarint(nil, int64(w.now))
+	put := func(vs ...int64) {
+		for _, v := range vs {
+			b = binary.AppendVarint(b, v)
+		}
+	}
+	text := func(s string) { b = append(append(b, s...), 0) }
+	for _, n := range w.budget {
+		put(int64(n))
+	}
+	put(int64(w.last))
+	for _, m := range w.members {
+		put(int64(m.from), int64(m.t.abstain))
+		if m.frozen {
+			put(1, int64(m.t.now))
+		}
+		v, x := m.t.votes["d"], m.t.bids["d"]
+		put(int64(v.number), int64(v.until), int64(x.number), int64(x.round), int64(x.asked), int64(x.until), int64(x.above), int64(x.rivalFor), int64(x.next), int64(x.yielded))
+		text(v.holder)
+		if x.asking {
+			put(1)
+		}
+		if x.owns {
+			put(2)
+		}
+		for _, list := range [][]int{x.grants, x.granted} {
+			set := 0
+			for _, p := range list {
+				set |= 1 << p
+			}
+			put(int64(set))
+		}
+	}
+	var net []string
+	for _, f := range w.net {
+		net = append(net, fmt.Sprint(f.from, f.to, f.msg))
+	}
+	slices.Sort(net)
+	return string(b) + strings.Join(net, ";")
+}
+
+// node is a state with the way to it.
+type node struct {
+	w    *model
+	up   *node
+	made string
+	deep int
+}
+
+func (n *node) trace() (out []string) {
+	for ; n.up != nil; n = n.up {
+		out = append(out, n.made)
+	}
+	slices.Reverse(out)
+	return out
+}
+
+// explore looks at all states that can be reached, the nearest first, up to so many. It returns the first that breaks an invariant, which
+// has the shortest way, or nil, and how many it saw, all of them to which depth.
+func explore(start *model, most int) (bad *node, states, depth int) {
+	seen := map[string]bool{start.key(): true}
+	queue := []*node{{w: start}}
+	for len(queue) > 0 && len(seen) < most {
+		n := queue[0]
+		queue = queue[1:]
+		depth = n.deep
+		for _, m := range n.w.moves() {
+			next := n.w.clone()
+			m.do(next)
+			x := &node{w: next, up: n, made: m.name, deep: n.deep + 1}
+			if next.bad != "" {
+				return x, len(seen), depth
+			}
+			if k := next.key(); !seen[k] {
+				seen[k] = true
+				queue = append(queue, x)
+			}
+		}
+	}
+	return nil, len(seen), depth
+}
+
+// settled is a model in which one member owns, all that was on its way has come, and so much time has passed since.
+func settled(t *testing.T, n int, budget [4]int, since int) *model {
+	t.Helper()
+	cfg := small()
+	cfg.Voters = n
+	w := newModel(cfg, n, budget)
+	owned := func() bool {
+		return slices.ContainsFunc(w.members, func(m *member) bool { return m.t.bids["d"].owns })
+	}
+	for range 40 {
+		if owned() {
+			break
+		}
+		w.pass()
+		for k := 0; k < len(w.net); k++ {
+			f := w.net[k]
+			w.tell(f.to, Heard{From: f.from, Msg: f.msg})
+		}
+		w.net = nil
+	}
+	if !owned() {
+		t.Fatal("nobody owns in peace")
+	}
+	for range since {
+		w.pass()
+		w.net = nil // all that was said meanwhile is lost
+	}
+	if w.bad != "" {
+		t.Fatal(w.bad)
+	}
+	return w
+}
+
+// TestAllInterleavings looks at every order of messages that are lost, late, doubled and reversed, members that stand still, crash with and
+// without memory, and clocks at both ends of their drift, from the start, from a settled ownership and from one whose lease is nearly over: no two
+// own at once, numbers rise, an owner is never turned away.
+func TestAllInterleavings(t *testing.T) {
+	total := 0
+	for _, n := range []int{3, 5} {
+		for what, budget := range map[string][4]int{"lost and late": {}, "standing still": {standstills: 1}, "crashes": {crashes: 1}, "amnesia": {amnesia: 1}, "doubles": {doubles: 1},
+			"all of it": {1, 1, 1, 1}} {
+			starts := map[string]*model{"from the start": newModel(withVoters(n), n, budget)}
+			for _, since := range []int{0, 3, 5, 6} {
+				starts[fmt.Sprint("owned, ", since, " later")] = settled(t, n, budget, since)
+			}
+			for from, w := range starts {
+				bad, states, depth := explore(w, *statesMost/10)
+				total += states
+				if bad != nil {
+					t.Fatalf("%d members, %s, %s: %s, after\n  %s", n, what, from, bad.w.bad, strings.Join(bad.trace(), "\n  "))
+				}
+				if depth < 2 {
+					t.Errorf("%d members, %s, %s: only to depth %d", n, what, from, depth)
+				}
+			}
+		}
+	}
+	t.Logf("%d states", total)
+}
+
+func withVoters(n int) Config {
+	cfg := small()
+	cfg.Voters = n
+	return cfg
+}
+
+// TestLongWalks goes on and on from the start, at random by a seed, with faults that do not run out: the invariants hold all along, and
+// ownership goes from one to another.
+func TestLongWalks(t *testing.T) { seeds.Play(t, []uint64{1, 2, 3, 4}, longWalk) }
+
+func longWalk(t *testing.T, seed uint64) {
+	rnd := seeds.Rand(seed)
+	n := 3 + 2*int(seed%2)
+	w := newModel(withVoters(n), n, [4]int{})
+	owners := map[string]bool{}
+	ownerships, last := 0, uint64(0)
+	for step := range *walkSteps {
+		w.budget = [4]int{}
+		if rnd.IntN(60) == 0 { // one fault at a time may happen: a minority forgets at once
+			w.budget[rnd.IntN(4)] = 1
+		}
+		all := w.moves()
+		m := all[0]
+		if len(all) > 1 && rnd.IntN(8) > 0 {
+			m = all[1+rnd.IntN(len(all)-1)]
+		}
+		if m.do(w); w.bad != "" {
+			t.Fatalf("step %d, %s: %s", step, m.name, w.bad)
+		}
+		for len(w.net) > 3*n { // the oldest are lost
+			w.net = slices.Delete(w.net, 0, 1)
+		}
+		if w.last > last {
+			last = w.last
+			ownerships++
+		}
+		for i, m := range w.members {
+			if m.t.bids["d"].owns {
+				owners[name(i)] = true
+			}
+		}
+	}
+	t.Logf("%d ownerships in %v, by %d of %d members", ownerships, w.now, len(owners), n)
+	if ownerships < 10 || len(owners) < 2 {
+		t.Errorf("%d ownerships in %v, by %d of %d members", ownerships, w.now, len(owners), n)
+	}
+}
+
+// TestDutiesAreSpread: by the order of duties every member is the first for some; the death of one moves its own alone.
+func TestDutiesAreSpread(t *testing.T) {
+	var members []string
+	for i := range 20 {
+		members = append(members, name(i))
+	}
+	first := map[string]int{}
+	for d := range 400 {
+		duty := fmt.Sprint("duty", d)
+		o := Order(duty, members)
+		first[o[0]]++
+		rest := slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == "m7" })
+		if now := Order(duty, rest); o[0] != "m7" && now[0] != o[0] || o[0] == "m7" && now[0] != o[1] {
+			t.Errorf("%s: %s was first and is %s without m7", duty, o[0], now[0])
+		}
+	}
+	least, most := math.MaxInt, 0
+	for _, n := range first {
+		least, most = min(least, n), max(most, n)
+	}
+	if len(first) != 20 || most > 3*400/20 || least < 400/20/4 {
+		t.Errorf("%d members are first, for %d to %d of 400 duties", len(first), least, most)
+	}
+}
+
+// TestFence: an action is taken if none of a higher number, or of the same number by another, was; who is turned away is counted.
+func TestFence(t *testing.T) {
+	var f Fence
+	for i, tc := range []struct {
+		m    Mark
+		took bool
+	}{{Mark{5, "a"}, true}, {Mark{5, "a"}, true}, {Mark{5, "b"}, false}, {Mark{4, "c"}, false}, {Mark{9, "b"}, true}, {Mark{5, "a"}, false}, {Mark{9, "b"}, true}} {
+		if _, ok := f.Take("d", tc.m); ok != tc.took {
+			t.Errorf("action %d of %v: taken %v", i, tc.m, ok)
+		}
+	}
+	if _, ok := f.Take("other", Mark{1, "c"}); !ok || f.Turned["a"] != 1 || f.Turned["b"] != 1 || f.Turned["c"] != 1 {
+		t.Errorf("%v, turned away %v", ok, f.Turned)
+	}
+}
