--- a/decide/decide.go
+++ b/decide/decide.go
@@ -554,7 +554,7 @@
 	}
 	f := g.cfg.Safety.ColdFrom
 	age := 1 - (s.coldUntil-g.now).Seconds()/g.cfg.Safety.ColdFor.Seconds()
-	return min(coldMost, coldMargin*g.cfg.Safety.FallMultiple/chance) * (f + (1-f)*age) * warm
+	return coldTimes(g.cfg.Safety, chance) * (f + (1-f)*age) * warm
 }
 
 func (g *Gateway) survey() {
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -79,6 +79,14 @@
 	return max(g.before, 1/(max(took, tookLeast)*float64(g.cfg.Gateways)))
 }
 
+// ColdTimes is how many times what it can do a cold server may be sent.
+func ColdTimes(s Safety) float64 { return coldTimes(s, 1) }
+
+// coldTimes is that where chance may make it so many times as much.
+func coldTimes(s Safety, chance float64) float64 {
+	return min(coldMost, coldMargin*s.FallMultiple/chance)
+}
+
 // keepSends follows what a warm server is sent, for a time when none is.
 func (g *Gateway) keepSends() {
 	if g.all.warm > 0 {
--- a/internal/recovery/service.go
+++ b/internal/recovery/service.go
@@ -26,6 +26,7 @@
 type ServiceConfig struct {
 	ColdFrom  float64       // speed of a node that has just started, as a share
 	ColdFor   time.Duration // it is warm after so long
+	ColdTimes float64       // times what it can do that a cold node may be sent, where it is known to be cold; 0: once
 	MaxAdvice time.Duration // longest time that a refusal may tell to stay away; 0: none is told
 	MaxUnits  float64       // of one request
 	DearPrice float64       // of the dearest plan
@@ -145,7 +146,11 @@
 // Rate is how many units a second this member lets in.
 func (s *Service) Rate(now time.Duration) float64 {
 	if s.work > 0 {
-		return max(floorRate, s.work*s.Curve(now)/float64(s.alive))
+		times := 1.0
+		if s.fresh { // the module knows which nodes are cold, and holds each to its budget
+			times = max(1, s.cfg.ColdTimes)
+		}
+		return max(floorRate, s.work*min(1, times*s.Curve(now))/float64(s.alive))
 	}
 	s.fade(now)
 	return max(floorRate, floorGrows*s.done)
