Wire owners into the fleet: leases by votes, a report to an outside system, late owners turned away

The pure room of owners gets its engine (internal/gossip/duties.go): messages between voters beside the module's, an ownership that any goroutine can look at by the monotonic clock and, for a machine that slept, the wall clock. Block duties, off without it. The first duty, report, tells an outside system how the fleet stands, with number and step, and looks at its lease before and after (internal/duty); sloectl fleet duties shows owner, lease and number.

TestLateOwnerDoesNoHarm: five processes; an owner stands still with a step held on its way, then the next one, the first step arrives when a third owns, one is cut off, all lose their power.

--- a/cmd/sloectl/fleet.go
+++ b/cmd/sloectl/fleet.go
@@ -11,10 +11,10 @@
 	"sloepick/internal/gossip"
 )
 
-// fleetVerb shows how a daemon sees its fleet: fleet status SOCKET.
+// fleetVerb shows how a daemon sees its fleet, fleet status SOCKET, or the work that is done on its behalf, fleet duties SOCKET.
 func fleetVerb(args []string, out, errs io.Writer) int {
-	if len(args) != 2 || args[0] != "status" {
-		fmt.Fprintln(errs, "usage: sloectl fleet status SOCKET")
+	if len(args) != 2 || args[0] != "status" && args[0] != "duties" {
+		fmt.Fprintln(errs, "usage: sloectl fleet status|duties SOCKET")
 		return exitTrouble
 	}
 	r, err := gossip.ReadStatus(context.Background(), args[1])
@@ -22,10 +22,32 @@
 		fmt.Fprintln(errs, "sloectl:", err)
 		return exitTrouble
 	}
-	printFleet(out, r)
+	if args[0] == "duties" {
+		printDuties(out, r)
+	} else {
+		printFleet(out, r)
+	}
 	return exitOK
 }
 
+// printDuties is a table of the fleet's work, as far as this member knows of it.
+func printDuties(out io.Writer, r *gossip.Report) {
+	if len(r.Duties) == 0 {
+		fmt.Fprintf(out, "%s has no duties\n", r.Name)
+		return
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "DUTY\tOWNER\tLEASE LEFT\tHIGHEST NUMBER")
+	for _, d := range r.Duties {
+		who, left := "not known here", "-"
+		if d.Owner != "" {
+			who, left = d.Owner, d.Left.Round(time.Second/10).String()
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", d.Duty, who, left, d.Number)
+	}
+	w.Flush()
+}
+
 // printFleet is a table of the members, and a line on this one.
 func printFleet(out io.Writer, r *gossip.Report) {
 	generation := uint64(0)
--- a/cmd/sloectl/main.go
+++ b/cmd/sloectl/main.go
@@ -31,7 +31,7 @@
 		{"diff", "[--json] OLD NEW", "tell what changes in meaning; exit 0 the same, 1 different, 2 trouble", diff},
 		{"show", "FILE", "print all values that hold, each with where it came from", show},
 		{"route", "explain --platform FILE [--class C] [--plan P] [--customer HEX] [--patience 5s] FILE", "tell which route a request gets, and why no other", routeVerb},
-		{"fleet", "status SOCKET", "show how a daemon sees its fleet: members, places, terms, configurations", fleetVerb},
+		{"fleet", "status|duties SOCKET", "show how a daemon sees its fleet: members, places, terms, configurations; or who does its work", fleetVerb},
 		{"power", "show FILE", "show what a gateway kept for its next start", powerVerb},
 		{"doc", "", "print the reference page of all blocks and keys", doc},
 		{"demo", "[--seconds N] [--seed N] [--plain] [--keep] [--fleet N] [--operator FILE]", "play a day with three gateways, nodes and clients on loopback", demo},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,6 +103,7 @@
 			return err
 		}
 		defer keep()
+		defer r.serveDuties()()
 	}
 	runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
 	debug.SetGCPercent(gcPercent)
@@ -148,6 +149,9 @@
 			return err
 		}
 	}
+	if err := withDuties(f, blocks.DutiesOf(r.now)); err != nil {
+		return err
+	}
 	member, err := gossip.New(*f, r.log)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/daemon/duties.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+
+	"sloepick/internal/blocks"
+	"sloepick/internal/duty"
+	"sloepick/internal/gossip"
+)
+
+// withDuties has a member take part in the fleet's work.
+func withDuties(f *gossip.Config, d *blocks.Duties) error {
+	if d == nil {
+		return nil
+	}
+	f.Owner = d.Owner
+	if d.Report != nil {
+		f.Owner.Duties = append(f.Owner.Duties, duty.ReportName)
+	}
+	if len(f.Owner.Duties) == 0 {
+		return errors.New("the block duties has no duty")
+	}
+	return nil
+}
+
+// serveDuties does the fleet's work while this member owns it, until the function that it returns is called.
+func (r *reloader) serveDuties() (end func()) {
+	d := blocks.DutiesOf(r.now)
+	if d == nil || d.Report == nil || r.member == nil {
+		return func() {}
+	}
+	report := &duty.Report{URL: d.Report.URL, Every: d.Report.Every, Within: d.Owner.Lease / 3, Holder: r.member, Log: r.log,
+		Body: func() any { return r.member.Report() }, Client: &http.Client{}}
+	ctx, stop := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { report.Serve(ctx) })
+	return func() {
+		stop()
+		done.Wait()
+	}
+}
--- /dev/null
+++ b/internal/daemon/duties_test.go
@@ -0,0 +1,161 @@
+package daemon
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sloepick/internal/duty"
+	"sloepick/internal/owner"
+	"sloepick/internal/stand"
+	"sloepick/internal/stand/links"
+	"sloepick/internal/stand/procs"
+)
+
+// outside is an outside system that takes steps of duties, keeps the highest number and records all that it took.
+type outside struct {
+	*httptest.Server
+	mu     sync.Mutex
+	fence  owner.Fence
+	taken  []duty.Step
+	turned []duty.Step
+}
+
+func newOutside(t *testing.T) *outside {
+	o := &outside{}
+	o.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		var s duty.Step
+		if err := json.NewDecoder(req.Body).Decode(&s); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if above, ok := o.fence.Take(s.Duty, owner.Mark{Number: s.Number, Who: s.Who}); !ok {
+			o.turned = append(o.turned, s)
+			w.WriteHeader(http.StatusConflict)
+			fmt.Fprintf(w, `{"Above": %d}`, above.Number)
+			return
+		}
+		o.taken = append(o.taken, s)
+	}))
+	t.Cleanup(o.Close)
+	return o
+}
+
+// owners are the names whose steps were taken, each time that it changed, and how many steps.
+func (o *outside) owners() (names []string, steps int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range o.taken {
+		if name, _, _ := strings.Cut(s.Who, "."); len(names) == 0 || names[len(names)-1] != name {
+			names = append(names, name)
+		}
+	}
+	return names, len(o.taken)
+}
+
+// next waits until a step of another than those is taken, and returns its number.
+func (o *outside) next(t *testing.T, not ...int) int {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if names, _ := o.owners(); len(names) > 0 {
+			var i int
+			if _, err := fmt.Sscanf(names[len(names)-1], "g%d", &i); err == nil && !slices.Contains(not, i) {
+				return i
+			}
+		}
+	}
+	names, steps := o.owners()
+	t.Fatalf("no step of another than %v: %v, %d steps", not, names, steps)
+	return -1
+}
+
+// TestLateOwnerDoesNoHarm: an owner stands still with a step on its way, and so does the one after it; the first goes on when a third has taken
+// over, and its step arrives at last. It is turned away, by name. Then an owner is cut off, and all lose their power. What the outside system took
+// has rising numbers, each of one owner, and every owner's steps in their order.
+func TestLateOwnerDoesNoHarm(t *testing.T) {
+	const n = 5
+	out := newOutside(t)
+	var ways [n]links.Ways
+	var relays [n]*links.Relay
+	for i := range n {
+		var err error
+		relays[i], err = links.NewRelay(strings.TrimPrefix(out.URL, "http://"), &ways[i])
+		must(t, err)
+		t.Cleanup(relays[i].Close)
+	}
+	r := newFleetWith(t, stand.Clinic(), n, 1, func(i int) string {
+		return fmt.Sprintf("duties {\n voters = 3\n lease = 2s\n report {\n url = \"http://%s/\"\n every = 100ms\n }\n}\n", relays[i].Addr())
+	})
+	r.Start(0, r.All()...)
+	agreed(t, r, time.Minute, r.All()...)
+	a := out.next(t)
+	ways[a].Set(links.Fault{Stall: true}, links.Fault{})
+	time.Sleep(300 * time.Millisecond) // a step of it is on its way
+	thawA := r.Freeze(a)
+	died := time.Now()
+	b := out.next(t, a)
+	t.Logf("g%d stands still with a step on its way; g%d owns %v later", a, b, time.Since(died).Round(time.Millisecond))
+	thawB := r.Freeze(b)
+	died = time.Now()
+	c := out.next(t, a, b)
+	t.Logf("g%d stands still; g%d owns %v later", b, c, time.Since(died).Round(time.Millisecond))
+	ways[a].Set(links.Fault{}, links.Fault{})
+	for end := time.Now().Add(time.Minute); ; time.Sleep(10 * time.Millisecond) {
+		out.mu.Lock()
+		late := out.fence.Turned
+		arrived := slices.ContainsFunc(out.turned, func(s duty.Step) bool { return strings.HasPrefix(s.Who, procs.Name(a)+".") })
+		out.mu.Unlock()
+		if arrived {
+			t.Logf("the late step arrived and was turned away: %v", late)
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the late step did not arrive")
+		}
+	}
+	thawA()
+	thawB()
+	agreed(t, r, time.Minute, r.All()...)
+	d := out.next(t)
+	r.Mesh.Part([]int{d})
+	e := out.next(t, d)
+	t.Logf("g%d is cut off; g%d owns", d, e)
+	r.Mesh.Set(links.Fault{}, nil, nil)
+	back := r.PowerLoss()
+	_, before := out.owners()
+	r.Start(0, r.All()...)
+	back()
+	for end := time.Now().Add(time.Minute); ; time.Sleep(20 * time.Millisecond) {
+		if _, steps := out.owners(); steps > before+3 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("nobody owns after the loss of power")
+		}
+	}
+	names, steps := out.owners()
+	t.Logf("%d steps taken, of %v; turned away %v", steps, names, out.fence.Turned)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	last := map[string]duty.Step{}
+	for i, s := range out.taken {
+		if i > 0 && (s.Number < out.taken[i-1].Number || s.Number == out.taken[i-1].Number && s.Who != out.taken[i-1].Who) {
+			t.Errorf("a step of %s under %d was taken after one of %s under %d", s.Who, s.Number, out.taken[i-1].Who, out.taken[i-1].Number)
+		}
+		if o, ok := last[s.Who]; ok && s.Step <= o.Step {
+			t.Errorf("step %d of %s was taken after step %d", s.Step, s.Who, o.Step)
+		}
+		last[s.Who] = s
+	}
+	if rep := report(r, 0); rep == nil || len(rep.Duties) != 1 || rep.Duties[0].Duty != duty.ReportName {
+		t.Errorf("the status tells %+v", rep)
+	}
+}
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -30,13 +30,19 @@
 	return cmd
 }
 
-// newFleet builds a fleet that is not started yet. more stands in the operators' file of each
-// behind its block fleet, with its disk's name for DISK.
+// newFleet builds a fleet that is not started yet. more stands in the operators' file of each behind its block fleet, with its disk's name
+// for DISK.
 func newFleet(t *testing.T, platform *stand.Platform, n int, seed uint64, more string) *procs.Rig {
+	t.Helper()
+	return newFleetWith(t, platform, n, seed, func(i int) string { return strings.ReplaceAll(more, "DISK", procs.Name(i)) })
+}
+
+// newFleetWith builds one whose members have each their own more.
+func newFleetWith(t *testing.T, platform *stand.Platform, n int, seed uint64, more func(i int) string) *procs.Rig {
 	t.Helper()
 	r := procs.New(t, procs.Config{Platform: platform, Gateways: n, Seed: seed, Program: program, Fleet: func(r *procs.Rig, i int) string {
 		return fmt.Sprintf("fleet {\n address = %q\n places = %d\n expect = %d\n seeds = [%q, %q]\n keys = \"keys\"\n state = \"%s/state\"\n status = %q\n}\n%s",
-			r.Members[i], n, n, r.Members[0], r.Members[1], procs.Name(i), procs.Name(i)+".sock", strings.ReplaceAll(more, "DISK", procs.Name(i)))
+			r.Members[i], n, n, r.Members[0], r.Members[1], procs.Name(i), procs.Name(i)+".sock", more(i))
 	}})
 	r.Write(r.File("keys"), base64.StdEncoding.EncodeToString([]byte("0123456789abcdef"))+"\n")
 	return r
--- /dev/null
+++ b/internal/gossip/duties.go
@@ -0,0 +1,164 @@
+package gossip
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"sloepick/internal/fleet"
+	"sloepick/internal/owner"
+)
+
+const (
+	dutyFlag     = 1 << 15 // in a message's place: it is about a duty, and not the module's
+	dutyNameMost = 64      // bytes of the name of a member that may own
+	dutiesMost   = 1024    // messages on duties that wait for the table; more are lost, as datagrams may be
+)
+
+// duties are this member's part in work on behalf of the fleet. The engine's goroutine owns the table. nil: there are none.
+type duties struct {
+	e     *Engine
+	table *owner.Table
+	in    chan owner.Event
+	last  fleet.Standing
+	owned atomic.Pointer[map[string]lease]
+}
+
+// lease is an ownership as those may read it who act for it.
+type lease struct {
+	number uint64
+	until  time.Duration // since the engine's start, by the monotonic clock
+	wall   time.Time     // when it was told: a machine that slept has a wall clock that went on, and a monotonic one that did not
+	at     time.Duration
+}
+
+func newDuties(e *Engine, cfg owner.Config) (*duties, error) {
+	cfg.Self, cfg.Life = e.cfg.Name, e.life
+	if len(cfg.Self) > dutyNameMost {
+		return nil, fmt.Errorf("the member's name has %d bytes, more than the %d that its messages on duties have room for", len(cfg.Self), dutyNameMost)
+	}
+	t, err := owner.New(cfg, time.Since(e.start), nil)
+	if err != nil {
+		return nil, err
+	}
+	d := &duties{e: e, table: t, in: make(chan owner.Event, dutiesMost)}
+	d.owned.Store(&map[string]lease{})
+	return d, nil
+}
+
+// inbox is where events wait; nil, which is never ready, without duties.
+func (d *duties) inbox() <-chan owner.Event {
+	if d == nil {
+		return nil
+	}
+	return d.in
+}
+
+// handle hands the table an event and does what it wants.
+func (d *duties) handle(ev owner.Event) {
+	if d == nil {
+		return
+	}
+	for queue := []owner.Event{ev}; len(queue) > 0; queue = queue[1:] {
+		for _, a := range d.table.Handle(time.Since(d.e.start), queue[0]) {
+			switch a := a.(type) {
+			case owner.Tell:
+				if a.To == d.last.Place {
+					queue = append(queue, owner.Heard{From: a.To, Msg: a.Msg})
+				} else {
+					d.tell(a)
+				}
+			case owner.Own:
+				d.e.log.Info("duty: owned", "duty", a.Duty, "number", a.Number)
+			case owner.Lost:
+				d.e.log.Info("duty: lost", "duty", a.Duty)
+			}
+		}
+	}
+	d.keep()
+}
+
+// keep has those who act read what is owned.
+func (d *duties) keep() {
+	owned := map[string]lease{}
+	now := time.Now()
+	for _, name := range d.e.cfg.Owner.Duties {
+		if until, number := d.table.Until(name); until > 0 {
+			owned[name] = lease{number, until, now.Round(0), now.Sub(d.e.start)}
+		}
+	}
+	d.owned.Store(&owned)
+}
+
+func (d *duties) tell(a owner.Tell) {
+	b, err := cbor.Marshal(a.Msg)
+	if err == nil {
+		err = d.e.tellPlace(a.To, dutyFlag, string(b))
+	}
+	if err != nil {
+		d.e.log.Debug("a message on a duty was not sent", "err", err) // as if lost
+	}
+}
+
+// message takes a message of the member in a place.
+func (d *duties) message(from int, b []byte) {
+	var m owner.Msg
+	if d == nil || cbor.Unmarshal(b, &m) != nil {
+		return
+	}
+	d.post(owner.Heard{From: from, Msg: m})
+}
+
+func (d *duties) post(ev owner.Event) {
+	select {
+	case d.in <- ev:
+	default:
+	}
+}
+
+func (d *duties) stand(s fleet.Standing) {
+	if d == nil {
+		return
+	}
+	e := owner.Stand{Place: s.Place, Anew: d.last.Holders != nil && (s.Place != d.last.Place || s.Term != d.last.Term)}
+	for _, h := range s.Holders {
+		if h.Name != "" && h.State == fleet.Alive {
+			e.Alive = append(e.Alive, h.Name)
+		}
+	}
+	d.last = s
+	d.handle(e)
+}
+
+func (d *duties) rows() []owner.Row {
+	if d == nil {
+		return nil
+	}
+	return d.table.Rows(time.Since(d.e.start))
+}
+
+// May reports whether this member may act for a duty at this moment, and under which number. It is to be asked before and after each
+// step that can't be taken back: no after it means that the outcome is unknown. It may be called from any goroutine.
+func (e *Engine) May(duty string) (owner.Mark, bool) {
+	if e.duties == nil {
+		return owner.Mark{}, false
+	}
+	l, ok := (*e.duties.owned.Load())[duty]
+	now := time.Now()
+	mono := now.Sub(e.start)
+	if slept := now.Round(0).Sub(l.wall) - (mono - l.at); !ok || mono >= l.until || max(slept, -slept) > jumpMost {
+		return owner.Mark{}, false
+	}
+	return owner.Mark{Number: l.number, Who: e.duties.table.Who()}, true
+}
+
+// Above tells that a receiver turned this member away below a number.
+func (e *Engine) Above(duty string, number uint64) error {
+	if e.duties == nil {
+		return fmt.Errorf("there is no duty %q here", duty)
+	}
+	e.duties.post(owner.Above{Duty: duty, Number: number})
+	return nil
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -29,6 +29,7 @@
 
 	"sloepick/internal/fleet"
 	"sloepick/internal/gateway"
+	"sloepick/internal/owner"
 	"sloepick/internal/recovery"
 )
 
@@ -67,6 +68,7 @@
 	Generation   uint64 // of the configuration
 	Table        fleet.Config
 	Transport    memberlist.Transport // nil: sockets at Address
+	Owner        owner.Config         // work on behalf of the fleet; no duties: there is none
 
 	version int // that it tells; 0: metaVersion
 }
@@ -84,6 +86,7 @@
 	before fleet.Past   // ... with their claims
 	status net.Listener // nil: none
 
+	duties   *duties // nil: none
 	events   chan fleet.Event
 	tells    chan tell
 	dirty    chan struct{} // something is to be announced
@@ -157,9 +160,10 @@
 	Name     string
 	Standing fleet.Standing
 	Rows     []fleet.Row
-	Now      time.Duration     // on the clock of the rows
-	Phase    string            // how far service has returned; "": all is let in
-	Lost     uint64            // messages to others that found the queue full
+	Now      time.Duration // on the clock of the rows
+	Phase    string        // how far service has returned; "": all is let in
+	Lost     uint64        // messages to others that found the queue full
+	Duties   []owner.Row
 	Drops    map[string]uint64 // those of other members, by name, as they told with their last whole state
 }
 
@@ -185,6 +189,11 @@
 	s := e.table.Standing()
 	e.standing.Store(&s)
 	e.past.Store(&fleet.Past{})
+	if len(cfg.Owner.Duties) > 0 {
+		if e.duties, err = newDuties(e, cfg.Owner); err != nil {
+			return nil, err
+		}
+	}
 	if cfg.StatusSocket != "" {
 		if e.status, err = listenStatus(cfg.StatusSocket); err != nil {
 			return nil, err
@@ -347,13 +356,17 @@
 		select {
 		case ev := <-e.events:
 			e.handle(ev)
+		case ev := <-e.duties.inbox():
+			e.duties.handle(ev)
 		case <-ticker.C:
 			now := time.Now()
 			if jump := now.Round(0).Sub(wall.Round(0)) - now.Sub(wall); max(jump, -jump) > jumpMost {
 				e.handle(fleet.Jumped{})
+				e.duties.handle(owner.Woke{})
 			}
 			wall = now
 			e.handle(fleet.Tick{})
+			e.duties.handle(owner.Tick{Wall: uint64(max(0, now.UnixMilli()))})
 			e.tell()
 		case <-ctx.Done():
 			e.handle(fleet.Leave{})
@@ -372,6 +385,7 @@
 	}
 	e.mu.Lock()
 	r.Drops = maps.Clone(e.drops)
+	r.Duties = e.duties.rows()
 	e.mu.Unlock()
 	e.report.Store(r)
 	past := e.table.Past()
@@ -406,6 +420,7 @@
 	e.standing.Store(&s)
 	e.log.Info("fleet: standing", "place", s.Place, "term", s.Term, "alone", s.Alone)
 	e.door.Stand(s, e.stood.Add(1))
+	e.duties.stand(s)
 	e.tell()
 	if s.Place >= 0 {
 		e.saved.Claim = fleet.Claim{Place: s.Place, Term: s.Term}
@@ -472,7 +487,10 @@
 }
 
 // Tell implements gateway.Peers.
-func (e *Engine) Tell(place int, text string) error {
+func (e *Engine) Tell(place int, text string) error { return e.tellPlace(place, 0, text) }
+
+// tellPlace sends a text to whoever is in a place. flag is set in the sender's place, and tells what the text is.
+func (e *Engine) tellPlace(place int, flag uint16, text string) error {
 	s := e.standing.Load()
 	if place < 0 || place >= len(s.Holders) || s.Place < 0 || len(text) > messageMost {
 		return fmt.Errorf("a message of %d bytes to place %d can't be sent", len(text), place)
@@ -481,7 +499,7 @@
 	if h.Name == "" || h.State != fleet.Alive {
 		return fmt.Errorf("nobody is in place %d", place)
 	}
-	b := binary.BigEndian.AppendUint16(make([]byte, 0, headLen+len(text)), uint16(s.Place))
+	b := binary.BigEndian.AppendUint16(make([]byte, 0, headLen+len(text)), uint16(s.Place)|flag)
 	b = append(binary.BigEndian.AppendUint64(b, e.life), text...)
 	select {
 	case e.tells <- tell{lifeOf(h.Name, h.Life), b}:
@@ -629,11 +647,16 @@
 	if len(b) <= headLen || len(b) > headLen+messageMost {
 		return
 	}
-	place, life := int(binary.BigEndian.Uint16(b)), binary.BigEndian.Uint64(b[2:])
+	head, life := binary.BigEndian.Uint16(b), binary.BigEndian.Uint64(b[2:])
+	place := int(head &^ dutyFlag)
 	s := e.standing.Load()
 	if place >= len(s.Holders) || s.Holders[place].Life != life || place == s.Place {
 		return // of one that has no place here, or not that one
 	}
+	if head&dutyFlag != 0 {
+		e.duties.message(place, b[headLen:])
+		return
+	}
 	text := string(b[headLen:])
 	e.mu.Lock()
 	door := e.door
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -235,6 +235,40 @@
 	return b.number, true
 }
 
+// Row is what this member knows of a duty.
+type Row struct {
+	Duty   string
+	Owner  string        // by name and life; "": not known
+	Number uint64        // the highest that it knows of
+	Left   time.Duration // of the owner's lease, as far as is known here
+}
+
+// Rows are all duties, in the order of the configuration.
+func (t *Table) Rows(now time.Duration) (all []Row) {
+	floor := t.Floor()
+	for _, d := range t.cfg.Duties {
+		r, b, v := Row{Duty: d, Number: floor[d]}, t.bids[d], t.votes[d]
+		switch {
+		case b.owns && now < b.until:
+			r.Owner, r.Number, r.Left = t.who, b.number, b.until-now
+		case v.holder != "" && v.holder != t.who && now < v.until:
+			r.Owner, r.Left = v.holder, v.until-now
+		case now < b.rivalFor:
+			r.Owner, r.Left = b.rival, b.rivalFor-now
+		}
+		all = append(all, r)
+	}
+	return all
+}
+
+// Until is the end of this member's lease on a duty, by its clock, and the number; 0: it has none.
+func (t *Table) Until(duty string) (until time.Duration, number uint64) {
+	if b := t.bids[duty]; b != nil && b.owns {
+		return b.until, b.number
+	}
+	return 0, 0
+}
+
 // Who is this member as others are told: its name and its life.
 func (t *Table) Who() string { return t.who }
 
