--- a/cmd/sloectl/demo.go
+++ b/cmd/sloectl/demo.go
@@ -215,8 +215,8 @@
 
 // fleetFile writes a member's operators' file and returns its path.
 func (d *demonstration) fleetFile(i int) (string, error) {
-	text := fmt.Sprintf("fleet {\n    address = %q\n    seeds = [%q, %q]\n    places = %d\n    expect = %d\n    status = %q\n}\n",
-		d.members[i].Listen, d.members[0].Listen, d.members[1].Listen, d.fleet, d.fleet, d.socket(i))
+	text := fmt.Sprintf("fleet {\n    address = %q\n    seeds = [%q, %q]\n    places = %d\n    expect = %d\n    status = %q\n}\n\npower {\n    keep = \"power-%d\"\n}\n",
+		d.members[i].Listen, d.members[0].Listen, d.members[1].Listen, d.fleet, d.fleet, d.socket(i), i)
 	path := filepath.Join(d.dir, fmt.Sprintf("fleet-%d.sloe", i))
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
