--- a/internal/owner/check_test.go
+++ b/internal/owner/check_test.go
@@ -504,6 +504,42 @@
 	}
 }
 
+// TestOldAnswersDoNotCount: an owner's renewal is answered when it has asked again: the leases that voters gave began before the second
+// question, so the answers don't count for it.
+func TestOldAnswersDoNotCount(t *testing.T) {
+	cfg := small()
+	cfg.Self = "m"
+	table, err := New(cfg, 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table.Handle(0, Stand{Place: 9, Alive: []string{"m"}}) // no voter itself
+	answer := func(at time.Duration, asked []Action) {
+		for _, a := range asked {
+			if a, ok := a.(Tell); ok && a.Msg.Kind == Ask {
+				table.Handle(at, Heard{From: a.To, Msg: Msg{Kind: Grant, Duty: "d", Number: a.Msg.Number, Who: a.Msg.Who, Round: a.Msg.Round}})
+			}
+		}
+	}
+	answer(0, table.Handle(0, Tick{}))
+	if _, ok := table.May(0, "d"); !ok {
+		t.Fatal("it does not own")
+	}
+	first := table.Handle(cfg.Renew, Tick{})
+	second := table.Handle(cfg.Renew+cfg.Answer, Tick{})
+	if len(first) != cfg.Voters || len(second) != cfg.Voters {
+		t.Fatalf("it asked %d and %d voters", len(first), len(second))
+	}
+	answer(cfg.Renew+cfg.Answer, first)
+	if _, ok := table.May(cfg.holds(), "d"); ok {
+		t.Error("it owns on by answers to a former question")
+	}
+	answer(cfg.Renew+cfg.Answer, second)
+	if _, ok := table.May(cfg.holds(), "d"); !ok {
+		t.Error("it does not own on by answers to the last question")
+	}
+}
+
 // TestFence: an action is taken if none of a higher number, or of the same number by another, was; who is turned away is counted.
 func TestFence(t *testing.T) {
 	var f Fence
