Never have the loop wait for who looks through all kept customers; run long waits beside each other

What is noted now goes to a table of its own under a lock held for a moment, as many customers as are kept, and is taken in by whoever looks through all.

--- a/internal/daemon/duties_test.go
+++ b/internal/daemon/duties_test.go
@@ -81,6 +81,7 @@
 // over, and its step arrives at last. It is turned away, by name. Then an owner is cut off, and all lose their power. What the outside system took
 // has rising numbers, each of one owner, and every owner's steps in their order.
 func TestLateOwnerDoesNoHarm(t *testing.T) {
+	t.Parallel() // it waits more than it works
 	const n = 5
 	out := newOutside(t)
 	var ways [n]links.Ways
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -235,6 +235,7 @@
 // TestMembersTalkByLinks: what members of a fleet say to each other goes by the links between their processes: one that is cut off by
 // them knows it, and is one of all again when they are mended.
 func TestMembersTalkByLinks(t *testing.T) {
+	t.Parallel() // it waits more than it works
 	r := newFleet(t, stand.Clinic(), 3, 1, "")
 	r.Start(0, r.All()...)
 	agreed(t, r, time.Minute, r.All()...)
--- a/internal/daemon/power_test.go
+++ b/internal/daemon/power_test.go
@@ -225,6 +225,7 @@
 // TestPowerReturnsWithoutDiscovery: the seeds come back last, discovery answers nobody for seconds, half of the nodes are others at the
 // addresses of before and all are cold. Nodes count as started at the return until discovery speaks, then as it tells; none is pushed over.
 func TestPowerReturnsWithoutDiscovery(t *testing.T) {
+	t.Parallel() // it waits more than it works
 	const n = 5
 	b := newBlackout(t, n, 1, keeps)
 	var lost time.Time
@@ -266,6 +267,7 @@
 // own place after the stated time, as those on the other side can't have a majority either, and serves at its even part; together they
 // let in no more than the quota. When the cut is healed all is whole again.
 func TestPowerReturnsOnTwoSides(t *testing.T) {
+	t.Parallel() // it waits more than it works
 	const n = 4
 	b := newBlackout(t, n, 1, keeps)
 	b.judge(b.Play(floodsAndCalm(b.platform, n, 5), 1, func() {
@@ -285,6 +287,7 @@
 // TestExpectLoweredByHand: one of three comes back, and gets its place when its operators say that no more are to be expected. Another
 // process on its disk ends with a line that says why.
 func TestExpectLoweredByHand(t *testing.T) {
+	t.Parallel() // it waits more than it works
 	b := newBlackout(t, 3, 1, keeps)
 	b.PowerLoss()
 	b.Start(0, 0)
--- a/internal/record/keeper.go
+++ b/internal/record/keeper.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"maps"
@@ -24,14 +25,17 @@
 	Clock func() recovery.Clock
 }
 
-// Keeper owns a member's image. The loop hands it what changed, and never waits for the disk.
+// Keeper owns a member's image. The loop hands it what changed, and never waits for the disk, nor for who looks through all buckets.
 type Keeper struct {
 	cfg   Config
 	plans map[string]*decide.Plan
 	log   *slog.Logger
 
-	mu      sync.Mutex
+	all     sync.Mutex // held while all buckets are looked through, and never by Note; taken before mu
 	buckets map[uint64]kept
+
+	mu      sync.Mutex      // held for a moment
+	pending map[uint64]kept // what was noted since the buckets were looked through
 	seen    map[string]recovery.Seen
 	work    float64
 	sends   float64
@@ -60,7 +64,7 @@
 
 // NewKeeper makes one, with an empty image.
 func NewKeeper(cfg Config, log *slog.Logger) *Keeper {
-	return &Keeper{cfg: cfg, log: log, plans: recovery.PlansOf(cfg.Plans), buckets: map[uint64]kept{}, seen: map[string]recovery.Seen{}}
+	return &Keeper{cfg: cfg, log: log, plans: recovery.PlansOf(cfg.Plans), buckets: map[uint64]kept{}, pending: map[uint64]kept{}, seen: map[string]recovery.Seen{}}
 }
 
 // Before has the image of the time before stand for this process until Open: it has let nothing in, so what was true stays so if it
@@ -94,38 +98,41 @@
 		if m.Plan < 0 || m.Plan >= len(k.cfg.Plans) {
 			continue
 		}
-		if _, known := k.buckets[m.Key]; !known && len(k.buckets) >= k.cfg.Most && !k.room(now) {
+		if _, known := k.pending[m.Key]; !known && len(k.pending) >= k.cfg.Most {
 			k.stats.Dropped++
 			continue
 		}
-		k.buckets[m.Key] = kept{recovery.Bucket{Key: m.Key, Plan: k.cfg.Plans[m.Plan].Name, First: m.First, Of: m.Spread, Fill: m.Fill}, now}
-	}
-}
-
-// room drops what has leaked out, and where that is not enough the emptiest eighth.
-func (k *Keeper) room(now recovery.Clock) bool {
-	all := k.aged(now)
-	if len(all) >= k.cfg.Most {
-		for _, b := range recovery.Fullest(all, len(all))[k.cfg.Most*7/8:] {
-			delete(k.buckets, b.Key)
-			k.stats.Dropped++
-		}
+		k.pending[m.Key] = kept{recovery.Bucket{Key: m.Key, Plan: k.cfg.Plans[m.Plan].Name, First: m.First, Of: m.Spread, Fill: m.Fill}, now}
 	}
-	return len(k.buckets) < k.cfg.Most
 }
 
-// aged are the buckets as they are now. Those that have leaked out are forgotten.
-func (k *Keeper) aged(now recovery.Clock) (all []recovery.Bucket) {
+// merged takes in what was noted, and returns all buckets as they are now. Those that have leaked out are forgotten, and where more are left
+// than may be kept the emptiest. It is called with all held.
+func (k *Keeper) merged(now recovery.Clock) []recovery.Bucket {
+	k.mu.Lock()
+	pending := k.pending
+	k.pending = map[uint64]kept{}
+	k.mu.Unlock()
+	maps.Copy(k.buckets, pending)
+	var left []recovery.Bucket
 	for key, b := range k.buckets {
-		one := recovery.Image{Buckets: []recovery.Bucket{b.Bucket}}
-		left := one.Aged(now.Since(b.at), k.plans)
-		if len(left) == 0 {
+		if now, ok := b.After(now.Since(b.at), k.plans[b.Plan]); ok {
+			left = append(left, now)
+		} else {
 			delete(k.buckets, key)
-			continue
 		}
-		all = append(all, left...)
 	}
-	return all
+	if over := len(left) - k.cfg.Most; over > 0 {
+		left = recovery.Fullest(left, len(left))
+		for _, b := range left[k.cfg.Most:] {
+			delete(k.buckets, b.Key)
+		}
+		left = left[:k.cfg.Most]
+		k.mu.Lock()
+		k.stats.Dropped += uint64(over)
+		k.mu.Unlock()
+	}
+	return left
 }
 
 // Heard keeps what is known of other members' last lives.
@@ -140,18 +147,22 @@
 // Image is what is kept, as of now.
 func (k *Keeper) Image() *recovery.Image {
 	now := k.cfg.Clock()
+	k.all.Lock()
+	defer k.all.Unlock()
+	buckets := k.merged(now)
+	slices.SortFunc(buckets, func(a, b recovery.Bucket) int { return cmp.Compare(a.Key, b.Key) })
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.before != nil {
 		return k.before
 	}
-	img := &recovery.Image{Name: k.cfg.Name, Mark: k.mark, Clock: now, Every: k.cfg.Every + k.took, Work: k.work, Sends: k.sends, Buckets: k.aged(now), Seen: k.seen}
-	slices.SortFunc(img.Buckets, func(a, b recovery.Bucket) int { return int(int64(a.Key) - int64(b.Key)) })
-	return img
+	return &recovery.Image{Name: k.cfg.Name, Mark: k.mark, Clock: now, Every: k.cfg.Every + k.took, Work: k.work, Sends: k.sends, Buckets: buckets, Seen: k.seen}
 }
 
 // Stats tells its figures.
 func (k *Keeper) Stats() Stats {
+	k.all.Lock()
+	defer k.all.Unlock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.stats
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -211,6 +211,15 @@
 	k.Open(false)
 	for i := range 1000 {
 		k.Note([]decide.Memory{{Key: uint64(i), Fill: float64(i%100) / 100}, {Key: 9000, Plan: 5}}, 0, 0)
+		if i%50 == 49 {
+			k.Image()
+		}
+	}
+	for i := range 1000 { // with nobody who looks, as while a disk stalls
+		k.Note([]decide.Memory{{Key: uint64(2000 + i), Fill: 0.01}}, 0, 0)
+	}
+	if n := len(k.pending); n > 80 {
+		t.Errorf("%d customers wait to be taken in", n)
 	}
 	img := k.Image()
 	least := 1.0
--- a/internal/recovery/belief.go
+++ b/internal/recovery/belief.go
@@ -132,17 +132,22 @@
 // Aged are the buckets that hold something after so much more time has leaked out of them.
 func (m *Image) Aged(dark time.Duration, plans map[string]*decide.Plan) (all []Bucket) {
 	for _, b := range m.Buckets {
-		p := plans[b.Plan]
-		if p == nil || p.Rate <= 0 || p.Burst <= 0 {
-			continue // a plan that is no more
-		}
-		if b.Fill -= p.Rate * dark.Seconds() / p.Burst; b.Fill >= fillLeast {
+		if b, ok := b.After(dark, plans[b.Plan]); ok {
 			all = append(all, b)
 		}
 	}
 	return all
 }
 
+// After is a bucket from which so much more time has leaked, by its plan; false: nothing worth a word is left, or the plan is no more.
+func (b Bucket) After(dark time.Duration, p *decide.Plan) (Bucket, bool) {
+	if p == nil || p.Rate <= 0 || p.Burst <= 0 {
+		return b, false
+	}
+	b.Fill -= p.Rate * dark.Seconds() / p.Burst
+	return b, b.Fill >= fillLeast
+}
+
 // Fullest are so many of the buckets at most, the fullest first.
 func Fullest(all []Bucket, most int) []Bucket {
 	slices.SortFunc(all, func(a, b Bucket) int { return cmp.Or(cmp.Compare(b.Fill, a.Fill), cmp.Compare(a.Key, b.Key)) })
