Let nobody hand on to a connection that has ended: one packet and a reset ended a gateway

A client that sends several commands in one piece and resets its connection ended the gateway ('panic: send on closed channel', internal/resp/front.go, flush): the first answer could not be written, Close closed the channel that the reader waits on, take went on with the piece, and a command that was rejected or refused at once was told to the closed channel. The rest of the piece also reached the core after its client was gone, and could be sent to a node.

The cause is that ending and handing on had no common owner. gateway.Baton has: the loop hands and ends, in any order; its comment says who closes a connection. Both fronts and both backs use it. take stops at the connection's end, and so does HTTP/2's begin, which took requests of a piece in after an earlier answer of it had brought the connection down.

--- a/internal/h2/back.go
+++ b/internal/h2/back.go
@@ -121,7 +121,7 @@
 	limits.Streams = n.cfg.Streams
 	now := n.d.Now()
 	c := &nodeConn{n: n, nc: nc, out: gateway.NewOutlet(nc), wire: wire.NewClient(limits, now), tries: map[uint32]*gateway.Try{},
-		heard: now, used: now, resume: make(chan struct{}, 1)}
+		heard: now, used: now, resume: gateway.NewBaton[struct{}]()}
 	n.conns = append(n.conns, c)
 	c.flush()
 	c.watch()
@@ -190,7 +190,7 @@
 	last   bool                    // nothing new goes out on it
 	unsent []byte
 	closed bool
-	resume chan struct{}
+	resume gateway.Baton[struct{}]
 	alarm  func()
 }
 
@@ -277,7 +277,7 @@
 		n, err := c.nc.Read(buf)
 		if n > 0 {
 			c.n.d.Post(func() { c.fed(buf[:n]) })
-			if _, open := <-c.resume; !open {
+			if _, going := c.resume.Wait(); !going {
 				return
 			}
 		}
@@ -301,9 +301,7 @@
 	}
 	c.flush()
 	c.endIfDone()
-	if !c.closed {
-		c.resume <- struct{}{}
-	}
+	c.resume.Hand(struct{}{})
 }
 
 func (c *nodeConn) event(e wire.Event) {
@@ -378,7 +376,7 @@
 	}
 	c.closed = true
 	c.nc.Close()
-	close(c.resume)
+	c.resume.End()
 	if c.alarm != nil {
 		c.alarm()
 	}
--- a/internal/h2/front.go
+++ b/internal/h2/front.go
@@ -66,7 +66,7 @@
 // take begins a connection, in the loop.
 func (f *Front) take(d *gateway.Door, nc net.Conn) {
 	now := d.Now()
-	c := &conn{f: f, d: d, nc: nc, raw: nc, used: now, came: now, asks: map[uint32]*ask{}, resume: make(chan struct{}, 1)}
+	c := &conn{f: f, d: d, nc: nc, raw: nc, used: now, came: now, asks: map[uint32]*ask{}, resume: gateway.NewBaton[struct{}]()}
 	if !d.Admit(c) {
 		nc.Close() // unread, so nothing is lost
 		return
@@ -101,11 +101,11 @@
 	owner  string          // the customer that its certificate names
 	came   time.Duration
 	used   time.Duration
-	resume chan struct{} // lets the reader go on
-	unsent []byte        // behind what Finish writes
-	later  bool          // to be flushed at the turn's end
-	half   bool          // nothing more is written
-	ending bool          // to be closed once all is written
+	resume gateway.Baton[struct{}] // lets the reader go on
+	unsent []byte                  // behind what Finish writes
+	later  bool                    // to be flushed at the turn's end
+	half   bool                    // nothing more is written
+	ending bool                    // to be closed once all is written
 	weaned bool
 	closed bool
 	alarm  func()
@@ -134,7 +134,7 @@
 		n, err := c.nc.Read(buf)
 		if n > 0 {
 			c.d.Post(func() { c.fed(buf[:n]) })
-			if _, open := <-c.resume; !open {
+			if _, going := c.resume.Wait(); !going {
 				return
 			}
 		}
@@ -175,8 +175,8 @@
 		c.event(e)
 	}
 	c.touch()
-	if !c.wire.Failed() && !c.closed {
-		c.resume <- struct{}{} // the reader waits for it, one piece at a time
+	if !c.wire.Failed() {
+		c.resume.Hand(struct{}{}) // the reader waits for it, one piece at a time
 	}
 }
 
@@ -205,8 +205,12 @@
 	}
 }
 
-// begin hands a request to the core.
+// begin hands a request to the core, unless the connection came to its end by an earlier one of the same piece: nobody would
+// hear the answer.
 func (c *conn) begin(stream uint32, q *wire.Request) {
+	if c.ending || c.closed {
+		return
+	}
 	v, p := read(q, c.d.Now())
 	if p == nil && c.bound && v.Customer != c.owner {
 		p = &problem{statusForeign, "foreign-customer", "the certificate is another customer's"}
@@ -384,7 +388,7 @@
 		c.alarm()
 	}
 	c.raw.Close()
-	close(c.resume)
+	c.resume.End()
 	c.abandon()
 	c.d.Gone(c)
 }
--- a/internal/resp/back.go
+++ b/internal/resp/back.go
@@ -34,10 +34,10 @@
 	n       *node
 	nc      net.Conn
 	out     *gateway.Outlet
-	retired int                // the node's, when it was asked for
-	try     *gateway.Try       // whose answer is owed
-	whole   bool               // the last byte of it was handed over
-	asked   chan time.Duration // tells the reader that an answer is owed, and how long one may take once it has begun
+	retired int                          // the node's, when it was asked for
+	try     *gateway.Try                 // whose answer is owed
+	whole   bool                         // the last byte of it was handed over
+	asked   gateway.Baton[time.Duration] // tells the reader that an answer is owed, and how long one may take once it has begun
 	used    time.Duration
 	closed  bool
 }
@@ -112,7 +112,7 @@
 }
 
 func newConn(n *node, nc net.Conn, retired int) *conn {
-	return &conn{n: n, nc: nc, out: gateway.NewOutlet(nc), retired: retired, used: n.d.Now(), asked: make(chan time.Duration, 1)}
+	return &conn{n: n, nc: nc, out: gateway.NewOutlet(nc), retired: retired, used: n.d.Now(), asked: gateway.NewBaton[time.Duration]()}
 }
 
 // GiveUp implements gateway.Carrier.
@@ -173,7 +173,7 @@
 	c.try, c.whole, c.used = t, false, c.n.d.Now()
 	t.Own = c
 	t.Placed()
-	c.asked <- c.n.d.Tuning().Nodes.Answer // the reader has taken the one before
+	c.asked.Hand(c.n.d.Tuning().Nodes.Answer) // the reader has taken the one before
 	if n == len(b) {
 		c.whole = true
 		t.Whole()
@@ -217,7 +217,7 @@
 	}
 	c.closed = true
 	c.nc.Close()
-	close(c.asked)
+	c.asked.End()
 	if i := slices.Index(c.n.idle, c); i >= 0 {
 		c.n.idle = slices.Delete(c.n.idle, i, i+1)
 	}
@@ -267,7 +267,7 @@
 // read here, a copy in the reader's hands could meet the next request and pass for its answer.
 func (c *conn) read() {
 	buf := make([]byte, 0, readFirst)
-	for within := range c.asked {
+	for within, going := c.asked.Wait(); going; within, going = c.asked.Wait() {
 		a, err := c.readAnswer(&buf, within)
 		if err != nil {
 			c.n.d.Post(func() { c.broke(errors.Is(err, errSpoilt)) })
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -90,7 +90,7 @@
 	owed    atomic.Int32 // answers that the reader counts on the loop to give
 	// owedMost is the bound by which the reader waits; it takes a new one with each read.
 	owedMost atomic.Int32
-	resume   chan struct{}
+	resume   gateway.Baton[struct{}]
 	weaned   atomic.Bool // no further command is waited for
 	ending   bool        // to be closed once all is answered
 	read     bool        // nothing more is read from it
@@ -98,7 +98,7 @@
 }
 
 func newClient(d *gateway.Door, nc net.Conn) *client {
-	return &client{d: d, conn: nc, out: gateway.NewOutlet(nc), used: d.Now(), resume: make(chan struct{}, 1)}
+	return &client{d: d, conn: nc, out: gateway.NewOutlet(nc), used: d.Now(), resume: gateway.NewBaton[struct{}]()}
 }
 
 // received is one command as the reader found it: a request, or an answer that needs no decision.
@@ -115,10 +115,10 @@
 }
 
 func (c *client) take(e commands) {
-	if c.closed {
-		return
-	}
 	for _, r := range e.got {
+		if c.closed { // by an answer that could not be written: what is left of the piece has nobody who waits for it
+			return
+		}
 		s := &slot{client: c}
 		c.slots = append(c.slots, s)
 		if r.cmd == nil {
@@ -128,6 +128,9 @@
 		}
 		c.d.Decide()
 	}
+	if c.closed {
+		return
+	}
 	if len(e.got) > 0 {
 		c.flush()
 	}
@@ -167,10 +170,7 @@
 		c.slots = slices.Delete(c.slots, 0, n)
 		c.used = c.d.Now()
 		if before := c.owed.Add(int32(-n)) + int32(n); before >= c.owedMost.Load() {
-			select {
-			case c.resume <- struct{}{}:
-			default:
-			}
+			c.resume.Hand(struct{}{})
 		}
 	}
 	c.push()
@@ -218,14 +218,14 @@
 	}
 }
 
-// Close ends a connection. What was open on it is over: no one waits for it any more.
+// Close ends a connection, as gateway.Baton tells. What was open on it is over: no one waits for it any more.
 func (c *client) Close() {
 	if c.closed {
 		return
 	}
 	c.closed = true
 	c.conn.Close()
-	close(c.resume)
+	c.resume.End()
 	c.d.Gone(c)
 	for _, s := range c.slots {
 		if s.ticket.Open() {
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -121,7 +121,7 @@
 	owed := r.c.owed.Add(int32(len(e.got)))
 	r.c.d.Post(func() { r.c.take(e) })
 	for ; owed >= most && !e.last; owed = r.c.owed.Load() {
-		if _, open := <-r.c.resume; !open {
+		if _, going := r.c.resume.Wait(); !going {
 			break
 		}
 	}
