--- a/cmd/sloectl/fleet.go
+++ b/cmd/sloectl/fleet.go
@@ -46,6 +46,15 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", d.Duty, who, left, d.Number)
 	}
 	w.Flush()
+	fmt.Fprintf(out, "\nvotes, in epoch %d:", r.Voters.Epoch)
+	for _, p := range r.Voters.Seats {
+		name := "nobody"
+		if p < len(r.Standing.Holders) && r.Standing.Holders[p].Name != "" {
+			name = r.Standing.Holders[p].Name
+		}
+		fmt.Fprintf(out, " %s (%d)", name, p)
+	}
+	fmt.Fprintln(out)
 }
 
 // printFleet is a table of the members, and a line on this one.
--- a/internal/blocks/duties.go
+++ b/internal/blocks/duties.go
@@ -15,7 +15,7 @@
 		Doc: "Work on behalf of the fleet, each by one member at a time. The same in the files of all members. Without the block there is none.",
 		Keys: []operator.Key{
 			{Name: "voters", Kind: operator.Count, Default: "5", Least: "1", Most: "9", Takes: operator.AtRestart,
-				Doc: "Members that vote on owners: those in the lowest places. More than half of them have to be there."},
+				Doc: "Members that vote on owners, at first those in the lowest places. More than half of them have to be there; one that is gone is replaced, one after the other."},
 			{Name: "lease", Kind: operator.Duration, Default: "6s", Least: "1s", Most: "10m", Takes: operator.AtRestart,
 				Doc: "For how long an owner owns without being heard. Another one takes over after it."},
 		},
--- a/internal/blocks/fleet.go
+++ b/internal/blocks/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"time"
 
 	"sloepick/internal/fleet"
 	"sloepick/internal/gossip"
@@ -19,6 +20,8 @@
 				Doc: "Numbers that there are to give, the same at all members. Spare ones cost nothing; members without one let nothing in."},
 			{Name: "expect", Kind: operator.Count, Default: "1", Least: "1", Most: "4096",
 				Doc: "Members that the fleet is meant to have. Numbers are given only where more than half of them, and of those last known, are there."},
+			{Name: "hold", Kind: operator.Duration, Default: "3m", Least: "15s", Most: "1h", Takes: operator.AtRestart,
+				Doc: "A number is kept for so long for a member that is gone. One that is cut off gives its own up a minute before that, but not before a third of it: shorter ones want a network in which a loss is noticed sooner."},
 			{Name: "seeds", Kind: operator.Text, List: true, Optional: true, Takes: operator.AtRestart, Doc: "Addresses of members by which it joins; one of them may be its own."},
 			{Name: "keys", Kind: operator.Text, Optional: true, Doc: "A file with keys of 16, 24 or 32 bytes in base64, one a line; the first is used to send, any to read. Read again at each reload. Left out: nothing is encrypted."},
 			{Name: "state", Kind: operator.Text, Optional: true, Takes: operator.AtRestart, Doc: "A file in which the member keeps its number and who is there. Left out: nothing is kept."},
@@ -55,7 +58,8 @@
 		return nil
 	}
 	f := &gossip.Config{Address: s.Word("address"), Seeds: s.Words("seeds"), Generation: Generation(c), Table: fleet.Default()}
-	f.Table.Places, f.Table.Expect = s.Count("places"), s.Count("expect")
+	f.Table.Places, f.Table.Expect, f.Table.Hold = s.Count("places"), s.Count("expect"), s.Duration("hold")
+	f.Table.Lease = max(f.Table.Hold-noticeMost, f.Table.Hold/3)
 	for key, to := range map[string]*string{"keys": &f.KeyFile, "state": &f.StateFile, "status": &f.StatusSocket} {
 		if s.Has(key) {
 			*to = beside(s, key)
@@ -64,6 +68,8 @@
 	return f
 }
 
+const noticeMost = time.Minute // between a loss and all others' knowing it, or its own
+
 // Generation is a number for what stands in an operators' file and its includes.
 func Generation(c *operator.Config) uint64 {
 	h := fnv.New64a()
--- a/internal/daemon/duties_test.go
+++ b/internal/daemon/duties_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -93,7 +94,7 @@
 		t.Cleanup(relays[i].Close)
 	}
 	r := newFleetWith(t, stand.Clinic(), n, 1, func(i int) string {
-		return fmt.Sprintf("duties {\n voters = 3\n lease = 2s\n report {\n url = \"http://%s/\"\n every = 100ms\n }\n}\n", relays[i].Addr())
+		return fmt.Sprintf(dutiesOfThree, relays[i].Addr())
 	})
 	r.Start(0, r.All()...)
 	agreed(t, r, time.Minute, r.All()...)
@@ -104,6 +105,10 @@
 	died := time.Now()
 	b := out.next(t, a)
 	t.Logf("g%d stands still with a step on its way; g%d owns %v later", a, b, time.Since(died).Round(time.Millisecond))
+	if slices.Contains(voters(t, r, a), a) {
+		t.Logf("g%d votes no more %v later", a, renewed(t, r, a).Round(time.Millisecond))
+		b = out.next(t, a)
+	}
 	thawB := r.Freeze(b)
 	died = time.Now()
 	c := out.next(t, a, b)
@@ -142,21 +147,128 @@
 			t.Fatal("nobody owns after the loss of power")
 		}
 	}
-	names, steps := out.owners()
-	t.Logf("%d steps taken, of %v; turned away %v", steps, names, out.fence.Turned)
-	out.mu.Lock()
-	defer out.mu.Unlock()
+	out.audit(t)
+	if rep := report(r, 0); rep == nil || len(rep.Duties) != 1 || rep.Duties[0].Duty != duty.ReportName {
+		t.Errorf("the status tells %+v", rep)
+	}
+}
+
+// audit holds that what was taken has rising numbers, each of one owner, and every owner's steps in their order.
+func (o *outside) audit(t *testing.T) {
+	t.Helper()
+	names, steps := o.owners()
+	t.Logf("%d steps taken, of %v; turned away %v", steps, names, o.fence.Turned)
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	last := map[string]duty.Step{}
-	for i, s := range out.taken {
-		if i > 0 && (s.Number < out.taken[i-1].Number || s.Number == out.taken[i-1].Number && s.Who != out.taken[i-1].Who) {
-			t.Errorf("a step of %s under %d was taken after one of %s under %d", s.Who, s.Number, out.taken[i-1].Who, out.taken[i-1].Number)
+	for i, s := range o.taken {
+		if i > 0 && (s.Number < o.taken[i-1].Number || s.Number == o.taken[i-1].Number && s.Who != o.taken[i-1].Who) {
+			t.Errorf("a step of %s under %d was taken after one of %s under %d", s.Who, s.Number, o.taken[i-1].Who, o.taken[i-1].Number)
 		}
 		if o, ok := last[s.Who]; ok && s.Step <= o.Step {
 			t.Errorf("step %d of %s was taken after step %d", s.Step, s.Who, o.Step)
 		}
 		last[s.Who] = s
 	}
-	if rep := report(r, 0); rep == nil || len(rep.Duties) != 1 || rep.Duties[0].Duty != duty.ReportName {
-		t.Errorf("the status tells %+v", rep)
+}
+
+const dutiesOfThree = "duties {\n voters = 3\n lease = 2s\n report {\n url = \"http://%s/\"\n every = 100ms\n }\n}\n"
+
+// voters are the gateways that vote, as one of those that are there tells it, by number.
+func voters(t *testing.T, r *procs.Rig, but ...int) (who []int) {
+	t.Helper()
+	for _, i := range r.All() {
+		rep := report(r, i)
+		if slices.Contains(but, i) || rep == nil {
+			continue
+		}
+		for _, p := range rep.Voters.Seats {
+			var n int
+			if _, err := fmt.Sscanf(rep.Standing.Holders[p].Name, "g%d", &n); err == nil {
+				who = append(who, n)
+			}
+		}
+		return who
+	}
+	return nil
+}
+
+// renewed waits until those who stand still vote no more, and returns how long that took.
+func renewed(t *testing.T, r *procs.Rig, still ...int) time.Duration {
+	t.Helper()
+	for from := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		now := voters(t, r, still...)
+		if len(now) == 3 && !slices.ContainsFunc(now, func(i int) bool { return slices.Contains(still, i) }) {
+			return time.Since(from)
+		}
+		if time.Since(from) > time.Minute {
+			t.Fatalf("%v stand still, and %v vote", still, now)
+		}
+	}
+}
+
+var twoStill = flag.Int("still", 1, "pairs of voters that TestTwoOfThreeVotersStandStill draws for each of its forms, 3 at most")
+
+// TestTwoOfThreeVotersStandStill: two of three voters of a fleet of five stand still, one after the other as soon as the first was replaced, or
+// both at once. The work goes on, others vote, and what the two do when they wake up is turned away or in order. While voters were those in the
+// lowest places nobody owned anything for as long as the two stood still.
+func TestTwoOfThreeVotersStandStill(t *testing.T) {
+	for _, form := range []string{"one after the other", "at once"} {
+		for k := range *twoStill {
+			t.Run(fmt.Sprintf("%s, pair %d", form, k), func(t *testing.T) {
+				t.Parallel() // it waits more than it works
+				const n = 5
+				out := newOutside(t)
+				r := newFleetHolding(t, stand.Clinic(), n, uint64(k), 15*time.Second, func(int) string {
+					return fmt.Sprintf(dutiesOfThree, strings.TrimPrefix(out.URL, "http://"))
+				})
+				r.Start(0, r.All()...)
+				agreed(t, r, time.Minute, r.All()...)
+				out.next(t)
+				three := voters(t, r)
+				if len(three) != 3 {
+					t.Fatalf("%v vote", three)
+				}
+				a, b := three[k%3], three[(k+1)%3]
+				thawA := r.Freeze(a)
+				if form == "one after the other" {
+					t.Logf("g%d stands still; others vote %v later", a, renewed(t, r, a).Round(time.Millisecond))
+				}
+				thawB := r.Freeze(b)
+				took := renewed(t, r, a, b)
+				goes := out.goesOn(t, a, b)
+				t.Logf("g%d and g%d stand still; others vote %v later, and the work goes on %v after that", a, b, took.Round(time.Millisecond), goes.Round(time.Millisecond))
+				thawA()
+				thawB()
+				agreed(t, r, time.Minute, r.All()...)
+				out.goesOn(t)
+				out.audit(t)
+			})
+		}
+	}
+}
+
+// goesOn waits until others than those have taken some steps from now on.
+func (o *outside) goesOn(t *testing.T, not ...int) time.Duration {
+	t.Helper()
+	from := time.Now()
+	o.mu.Lock()
+	before := len(o.taken)
+	o.mu.Unlock()
+	for ; ; time.Sleep(20 * time.Millisecond) {
+		o.mu.Lock()
+		steps := 0
+		for _, s := range o.taken[before:] {
+			if !slices.ContainsFunc(not, func(i int) bool { return strings.HasPrefix(s.Who, procs.Name(i)+".") }) {
+				steps++
+			}
+		}
+		o.mu.Unlock()
+		if steps >= 3 {
+			return time.Since(from)
+		}
+		if time.Since(from) > time.Minute {
+			t.Fatalf("%d steps by others than %v in a minute", steps, not)
+		}
 	}
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -39,10 +39,16 @@
 
 // newFleetWith builds one whose members have each their own more.
 func newFleetWith(t *testing.T, platform *stand.Platform, n int, seed uint64, more func(i int) string) *procs.Rig {
+	t.Helper()
+	return newFleetHolding(t, platform, n, seed, 3*time.Minute, more)
+}
+
+// newFleetHolding builds one that keeps the places of those who are gone for so long.
+func newFleetHolding(t *testing.T, platform *stand.Platform, n int, seed uint64, hold time.Duration, more func(i int) string) *procs.Rig {
 	t.Helper()
 	r := procs.New(t, procs.Config{Platform: platform, Gateways: n, Seed: seed, Program: program, Fleet: func(r *procs.Rig, i int) string {
-		return fmt.Sprintf("fleet {\n address = %q\n places = %d\n expect = %d\n seeds = [%q, %q]\n keys = \"keys\"\n state = \"%s/state\"\n status = %q\n}\n%s",
-			r.Members[i], n, n, r.Members[0], r.Members[1], procs.Name(i), procs.Name(i)+".sock", more(i))
+		return fmt.Sprintf("fleet {\n address = %q\n places = %d\n expect = %d\n hold = %ds\n seeds = [%q, %q]\n keys = \"keys\"\n state = \"%s/state\"\n status = %q\n}\n%s",
+			r.Members[i], n, n, int(hold.Seconds()), r.Members[0], r.Members[1], procs.Name(i), procs.Name(i)+".sock", more(i))
 	}})
 	r.Write(r.File("keys"), base64.StdEncoding.EncodeToString([]byte("0123456789abcdef"))+"\n")
 	return r
--- a/internal/gossip/duties.go
+++ b/internal/gossip/duties.go
@@ -39,7 +39,7 @@
 	if len(cfg.Self) > dutyNameMost {
 		return nil, fmt.Errorf("the member's name has %d bytes, more than the %d that its messages on duties have room for", len(cfg.Self), dutyNameMost)
 	}
-	t, err := owner.New(cfg, time.Since(e.start), nil)
+	t, err := owner.New(cfg, time.Since(e.start), nil, e.saved.Voters)
 	if err != nil {
 		return nil, err
 	}
@@ -74,6 +74,10 @@
 				d.e.log.Info("duty: owned", "duty", a.Duty, "number", a.Number)
 			case owner.Lost:
 				d.e.log.Info("duty: lost", "duty", a.Duty)
+			case owner.Elected:
+				d.e.log.Info("duties: voters", "epoch", a.Epoch, "places", a.Seats, "next", a.Next)
+				d.e.saved.Voters = a.Electorate
+				d.e.keep()
 			}
 		}
 	}
@@ -122,22 +126,15 @@
 	if d == nil {
 		return
 	}
-	e := owner.Stand{Place: s.Place, Anew: d.last.Holders != nil && (s.Place != d.last.Place || s.Term != d.last.Term)}
+	e := owner.Stand{Place: s.Place, Anew: d.last.Holders != nil && (s.Place != d.last.Place || s.Term != d.last.Term), Alone: s.Alone, Expect: d.e.cfg.Table.Expect}
 	for _, h := range s.Holders {
-		if h.Name != "" && h.State == fleet.Alive {
-			e.Alive = append(e.Alive, h.Name)
-		}
+		e.Holders = append(e.Holders, owner.Holder{Name: h.Name, Alive: h.Name != "" && h.State == fleet.Alive})
 	}
 	d.last = s
 	d.handle(e)
 }
 
-func (d *duties) rows() []owner.Row {
-	if d == nil {
-		return nil
-	}
-	return d.table.Rows(time.Since(d.e.start))
-}
+func (d *duties) rows() []owner.Row { return d.table.Rows(time.Since(d.e.start)) }
 
 // May reports whether this member may act for a duty at this moment, and under which number. It is to be asked before and after each
 // step that can't be taken back: no after it means that the outcome is unknown. It may be called from any goroutine.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -130,12 +130,13 @@
 
 // saved is what a member keeps on its disk.
 type saved struct {
-	Name    string      `json:"name"`
-	Life    uint64      `json:"life"`
-	Claim   fleet.Claim `json:"claim"`
-	Members []string    `json:"members"` // addresses
-	Held    []held      `json:"held"`    // what others claimed ...
-	At      int64       `json:"at"`      // ... by this wall clock, in milliseconds since 1970
+	Name    string           `json:"name"`
+	Life    uint64           `json:"life"`
+	Claim   fleet.Claim      `json:"claim"`
+	Members []string         `json:"members"` // addresses
+	Held    []held           `json:"held"`    // what others claimed ...
+	At      int64            `json:"at"`      // ... by this wall clock, in milliseconds since 1970
+	Voters  owner.Electorate `json:"voters"`
 }
 
 // held is another member's claim, as it was known last: after a loss of power a place is kept for one whose disk is lost, too.
@@ -164,6 +165,7 @@
 	Phase    string        // how far service has returned; "": all is let in
 	Lost     uint64        // messages to others that found the queue full
 	Duties   []owner.Row
+	Voters   owner.Electorate  // who votes on duties, as far as this member knows
 	Drops    map[string]uint64 // those of other members, by name, as they told with their last whole state
 }
 
@@ -350,6 +352,7 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	wall := time.Now()
+	ticked := wall
 	e.handle(fleet.Told{Past: e.before})
 	e.handle(fleet.Tick{})
 	for {
@@ -357,9 +360,14 @@
 		case ev := <-e.events:
 			e.handle(ev)
 		case ev := <-e.duties.inbox():
+			if time.Since(ticked) > e.cfg.Table.Gap { // it stood still: the table has to notice before it votes
+				e.handle(fleet.Tick{})
+				ticked = time.Now()
+			}
 			e.duties.handle(ev)
 		case <-ticker.C:
 			now := time.Now()
+			ticked = now
 			if jump := now.Round(0).Sub(wall.Round(0)) - now.Sub(wall); max(jump, -jump) > jumpMost {
 				e.handle(fleet.Jumped{})
 				e.duties.handle(owner.Woke{})
@@ -385,14 +393,19 @@
 	}
 	e.mu.Lock()
 	r.Drops = maps.Clone(e.drops)
-	r.Duties = e.duties.rows()
 	e.mu.Unlock()
+	if e.duties != nil {
+		r.Duties, r.Voters = e.duties.rows(), e.duties.table.Electorate()
+	}
 	e.report.Store(r)
 	past := e.table.Past()
 	e.past.Store(&past)
 }
 
 func (e *Engine) handle(ev fleet.Event) {
+	if r, ok := ev.(fleet.Retune); ok && r.Expect > 0 {
+		e.cfg.Table.Expect = r.Expect
+	}
 	for _, a := range e.table.Handle(time.Since(e.start), ev) {
 		switch a := a.(type) {
 		case fleet.Announce:
--- a/internal/owner/check_test.go
+++ b/internal/owner/check_test.go
@@ -41,34 +41,53 @@
 	now     time.Duration // real time
 	members []*member
 	net     []flight
-	budget  [4]int // of crashes with and without memory, standstills, doubles that are left
+	budget  budget // what is left of it
 	last    uint64 // number of the last ownership
 	lives   uint64
 	fence   Fence
-	bad     string        // a broken invariant
-	turn    int           // by which the clocks are dealt out
-	step    time.Duration // of real time
-	unset   bool          // nobody's wall clock was ever set: numbers rise by memory alone
+	bad     string            // a broken invariant
+	turn    int               // by which the clocks are dealt out
+	step    time.Duration     // of real time
+	unset   bool              // nobody's wall clock was ever set: numbers rise by memory alone
+	elected map[uint64]string // by epoch
+	side    []int             // what is said from one side to another is held for now; nil: all is heard
 }
 
+// budget is how many faults there may be: crashes with and without memory, standstills, doubled messages, deaths, and changes of what
+// members think of each other.
+type budget [6]int
+
 type member struct {
 	t      *Table
 	from   time.Duration // real time of its start
 	frozen bool
+	dead   bool
+	views  []view // of the others
 }
 
+// view is what a member thinks of another's place.
+type view int
+
+const (
+	there view = iota
+	gone
+	vacant // the fleet has given it up
+)
+
 const (
 	crashes = iota
 	amnesia
 	standstills
 	doubles
+	deaths
+	doubts
 )
 
-func newModel(cfg Config, n, turn int, budget [4]int) *model {
-	w := &model{cfg: cfg, turn: turn, step: unit, budget: budget}
+func newModel(cfg Config, n, turn int, b budget) *model {
+	w := &model{cfg: cfg, turn: turn, step: unit, budget: b, elected: map[uint64]string{}}
 	for i := range n {
-		w.members = append(w.members, &member{})
-		w.start(i, nil)
+		w.members = append(w.members, &member{views: make([]view, n)})
+		w.start(i, nil, Electorate{})
 	}
 	return w
 }
@@ -80,20 +99,60 @@
 	return time.Duration(float64(w.now-w.members[i].from) * rates[(i+w.turn)%len(w.members)])
 }
 
-func (w *model) start(i int, floor map[string]uint64) {
+func (w *model) start(i int, floor map[string]uint64, last Electorate) {
 	cfg := w.cfg
 	w.lives++
 	cfg.Self, cfg.Life = name(i), w.lives
-	t, err := New(cfg, 0, floor)
+	t, err := New(cfg, 0, floor, last)
 	if err != nil {
 		panic(err)
 	}
-	*w.members[i] = member{t: t, from: w.now}
-	var alive []string
-	for k := range w.members {
-		alive = append(alive, name(k))
+	*w.members[i] = member{t: t, from: w.now, views: make([]view, len(w.members))}
+	w.stand(i, i)
+}
+
+// stand tells a member how it stands.
+func (w *model) stand(i, place int) {
+	s := Stand{Place: place, Anew: w.now > w.members[i].from, Expect: len(w.members)}
+	for k, v := range w.members[i].views {
+		h := Holder{Name: name(k), Alive: v == there}
+		if v == vacant {
+			h.Name = ""
+		}
+		s.Holders = append(s.Holders, h)
+	}
+	s.Anew = s.Anew && w.members[i].t.place != place
+	w.tell(i, s)
+}
+
+// others are what may change in what members think of each other: anyone may seem gone, and be there after all; only who is dead or
+// stands still is given up.
+func (w *model) others() (all []move) {
+	for k, m := range w.members {
+		if m.dead || m.frozen {
+			continue
+		}
+		see := func(i int, v view, what string) {
+			all = append(all, move{fmt.Sprintf("%s %s %s", name(k), what, name(i)), func(w *model) {
+				w.budget[doubts]--
+				w.members[k].views = slices.Clone(w.members[k].views)
+				w.members[k].views[i] = v
+				w.stand(k, k)
+			}})
+		}
+		for i, v := range m.views {
+			switch o := w.members[i]; {
+			case i == k:
+			case v == there:
+				see(i, gone, "misses")
+			case v == gone && (o.dead || o.frozen):
+				see(i, vacant, "gives up the place of")
+			case !o.dead:
+				see(i, there, "hears again of")
+			}
+		}
 	}
-	w.tell(i, Stand{Place: i, Alive: alive})
+	return all
 }
 
 // tell hands a member an event.
@@ -108,6 +167,12 @@
 			}
 			w.last = max(w.last, a.Number)
 			w.act(i)
+		case Elected:
+			if old, seats := w.elected[a.Epoch], fmt.Sprint(a.Seats); old == "" {
+				w.elected[a.Epoch] = seats
+			} else if old != seats {
+				w.bad = fmt.Sprintf("in epoch %d vote %s and %s", a.Epoch, old, seats)
+			}
 		}
 	}
 	w.look()
@@ -140,7 +205,7 @@
 	w.now += w.step
 	w.look()
 	for i, m := range w.members {
-		if !m.frozen {
+		if !m.frozen && !m.dead {
 			wall := uint64(w.now / time.Millisecond)
 			if w.unset {
 				wall = 0
@@ -160,7 +225,7 @@
 func (w *model) moves() (all []move) {
 	all = append(all, move{"time passes", (*model).pass})
 	for k, f := range w.net {
-		if w.members[f.to].frozen {
+		if w.members[f.to].frozen || w.members[f.to].dead || w.side != nil && w.side[f.from] != w.side[f.to] {
 			continue
 		}
 		take := func(w *model) {
@@ -178,17 +243,31 @@
 			}})
 		}
 	}
+	if w.budget[doubts] > 0 {
+		all = append(all, w.others()...)
+	}
 	for i, m := range w.members {
+		if m.dead && w.budget[crashes]+w.budget[amnesia] == 0 {
+			continue
+		}
+		if w.budget[deaths] > 0 && !m.dead {
+			all = append(all, move{name(i) + " dies", func(w *model) { w.budget[deaths]--; w.members[i].dead, w.members[i].frozen = true, false }})
+		}
 		if m.frozen {
-			all = append(all, move{name(i) + " goes on", func(w *model) { w.members[i].frozen = false }})
+			all = append(all, move{name(i) + " goes on", func(w *model) {
+				w.members[i].frozen = false
+				w.stand(i, -1) // by the fleet's rule it stands aside until it has heard how things are
+				w.stand(i, i)
+			}})
+		} else if m.dead {
 		} else if w.budget[standstills] > 0 {
 			all = append(all, move{name(i) + " stands still", func(w *model) { w.budget[standstills]--; w.members[i].frozen = true }})
 		}
 		if w.budget[crashes] > 0 {
-			all = append(all, move{name(i) + " starts anew with what it knew", func(w *model) { w.budget[crashes]--; w.start(i, w.members[i].t.Floor()) }})
+			all = append(all, move{name(i) + " starts anew with what it knew", func(w *model) { w.budget[crashes]--; w.start(i, w.members[i].t.Floor(), w.members[i].t.Electorate()) }})
 		}
 		if w.budget[amnesia] > 0 {
-			all = append(all, move{name(i) + " starts anew and knows nothing", func(w *model) { w.budget[amnesia]--; w.start(i, nil) }})
+			all = append(all, move{name(i) + " starts anew and knows no number", func(w *model) { w.budget[amnesia]--; w.start(i, nil, w.members[i].t.Electorate()) }})
 		}
 	}
 	return all
@@ -196,6 +275,7 @@
 
 func (w *model) clone() *model {
 	c := *w
+	c.elected = maps.Clone(w.elected)
 	c.net = slices.Clone(w.net)
 	c.fence.taken, c.fence.Turned = maps.Clone(w.fence.taken), maps.Clone(w.fence.Turned)
 	c.members = nil
@@ -211,6 +291,8 @@
 			x.grants, x.granted = slices.Clone(b.grants), slices.Clone(b.granted)
 			t.bids[d] = &x
 		}
+		t.holders = slices.Clone(m.t.holders)
+		t.reg.taken, t.reg.from, t.reg.bid.answers = maps.Clone(m.t.reg.taken), maps.Clone(m.t.reg.from), maps.Clone(m.t.reg.bid.answers)
 		n.t = &t
 		c.members = append(c.members, &n)
 	}
@@ -236,7 +318,7 @@
 			put(1, int64(m.t.now))
 		}
 		v, x := m.t.votes["d"], m.t.bids["d"]
-		put(int64(v.number), int64(v.until), int64(x.number), int64(x.round), int64(x.asked), int64(x.until), int64(x.above), int64(x.rivalFor), int64(x.next), int64(x.yielded))
+		put(int64(v.number), int64(v.by), int64(v.until), int64(x.number), int64(x.round), int64(x.asked), int64(x.until), int64(x.above), int64(x.rivalFor), int64(x.next), int64(x.yielded))
 		text(v.holder)
 		if x.asking {
 			put(1)
@@ -252,9 +334,37 @@
 			put(int64(set))
 		}
 	}
+	for _, m := range w.members {
+		r := &m.t.reg
+		flags := 0
+		for i, is := range []bool{m.dead, r.read, r.bid.accepts} {
+			if is {
+				flags |= 1 << i
+			}
+		}
+		put(int64(flags), int64(r.Epoch), int64(r.Ballot), int64(r.promised), int64(r.bid.ballot), int64(r.bid.best), int64(r.bid.began), int64(r.at), int64(r.since))
+		for _, set := range []map[int]bool{r.taken, r.from, r.bid.answers} {
+			bits := 0
+			for p := range set {
+				bits |= 1 << p
+			}
+			put(int64(bits))
+		}
+		for _, list := range [][]int{r.Seats, r.Next, r.bid.seats, r.bid.vacant} {
+			bits := 0
+			for _, p := range list {
+				bits |= 1 << p
+			}
+			put(int64(bits))
+		}
+		for i, h := range m.t.holders {
+			put(int64(m.views[i]), int64(h.gone), int64(h.since))
+		}
+	}
 	var net []string
 	for _, f := range w.net {
-		net = append(net, fmt.Sprint(f.from, f.to, f.msg))
+		m := &f.msg
+		net = append(net, fmt.Sprint(f.from, f.to, m.Kind, m.Number, m.Who, m.Round, m.Left, m.Epoch, m.Ballot, m.Seats, m.Next, m.Vacant))
 	}
 	slices.Sort(net)
 	return string(b) + strings.Join(net, ";")
@@ -302,11 +412,11 @@
 }
 
 // settled is a model in which one member owns, all that was on its way has come, and so much time has passed since.
-func settled(t *testing.T, n, turn int, budget [4]int, since int) *model {
+func settled(t *testing.T, n, turn int, b budget, since int) *model {
 	t.Helper()
 	cfg := small()
 	cfg.Voters = n
-	w := newModel(cfg, n, turn, budget)
+	w := newModel(cfg, n, turn, b)
 	owned := func() bool {
 		return slices.ContainsFunc(w.members, func(m *member) bool { return m.t.bids["d"].owns })
 	}
@@ -338,29 +448,32 @@
 // without memory, and clocks at both ends of their drift, from the start, from a settled ownership and from one whose lease is nearly over: no two
 // own at once, numbers rise, an owner is never turned away.
 func TestAllInterleavings(t *testing.T) {
-	total := 0
 	for _, n := range []int{3, 5} {
-		for what, budget := range map[string][4]int{"lost and late": {}, "standing still": {standstills: 1}, "crashes": {crashes: 1}, "amnesia": {amnesia: 1}, "doubles": {doubles: 1},
-			"all of it": {1, 1, 1, 1}} {
-			starts := map[string]*model{"from the start": newModel(withVoters(n), n, 0, budget)}
-			for _, since := range []int{0, 3, 5, 6} {
-				for turn := range n {
-					starts[fmt.Sprint("owned, ", since, " later, clocks ", turn)] = settled(t, n, turn, budget, since)
-				}
-			}
-			for from, w := range starts {
-				bad, states, depth := explore(w, *statesMost)
-				total += states
-				if bad != nil {
-					t.Fatalf("%d members, %s, %s: %s, after\n  %s", n, what, from, bad.w.bad, strings.Join(bad.trace(), "\n  "))
+		for what, budget := range map[string]budget{"lost and late": {}, "standing still": {standstills: 1}, "crashes": {crashes: 1}, "amnesia": {amnesia: 1}, "doubles": {doubles: 1},
+			"all of it": {1, 1, 1, 1, 1, 2}} {
+			t.Run(fmt.Sprintf("%d members, %s", n, what), func(t *testing.T) {
+				t.Parallel()
+				starts := map[string]*model{"from the start": newModel(withVoters(n), n, 0, budget)}
+				for _, since := range []int{0, 3, 5, 6} {
+					for turn := range n {
+						starts[fmt.Sprint("owned, ", since, " later, clocks ", turn)] = settled(t, n, turn, budget, since)
+					}
 				}
-				if depth < 2 {
-					t.Errorf("%d members, %s, %s: only to depth %d", n, what, from, depth)
+				total := 0
+				for from, w := range starts {
+					bad, states, depth := explore(w, *statesMost)
+					total += states
+					if bad != nil {
+						t.Fatalf("%s: %s, after\n  %s", from, bad.w.bad, strings.Join(bad.trace(), "\n  "))
+					}
+					if depth < 2 {
+						t.Errorf("%s: only to depth %d", from, depth)
+					}
 				}
-			}
+				t.Logf("%d states", total)
+			})
 		}
 	}
-	t.Logf("%d states", total)
 }
 
 func withVoters(n int) Config {
@@ -371,22 +484,40 @@
 
 // TestLongWalks goes on and on from the start, at random by a seed, with faults that do not run out: the invariants hold all along, and
 // ownership goes from one to another.
-func TestLongWalks(t *testing.T) { seeds.Play(t, []uint64{1, 2, 3, 4, 5, 6, 7, 8}, longWalk) }
+func TestLongWalks(t *testing.T) {
+	seeds.Play(t, []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14}, longWalk)
+}
 
 func longWalk(t *testing.T, seed uint64) {
 	rnd := seeds.Rand(seed)
-	n := 3 + 2*int(seed%2)
-	w := newModel(withVoters(n), n, int(seed), [4]int{})
+	n, voters := 3+2*int(seed%2), 3+2*int(seed%2)
+	if seed > 8 && seed%8 > 1 { // with spares for voters that are gone
+		n, voters = 4+int(seed%2), 3
+	}
+	w := newModel(withVoters(voters), n, int(seed), budget{})
 	w.unset = seed%4 < 2 // then nobody may forget: numbers rise by what voters remember
+	most := 4 * n        // messages on their way
+	if voters < n {
+		most *= 3
+	}
 	owners := map[string]bool{}
-	ownerships, last, pass, fault := 0, uint64(0), 0.0, 0.0
+	ownerships, last, pass, fault, doubt := 0, uint64(0), 0.0, 0.0, 0.0
 	for step := range *walkSteps {
 		if step%200 == 0 { // times in which messages are quick, and in which they are held for long; quiet ones, and others
 			pass, fault = []float64{0.03, 0.1, 0.3}[rnd.IntN(3)], []float64{0, 0.02, 0.1}[rnd.IntN(3)]
+			doubt, w.side = []float64{0, 0.02, 0.2}[rnd.IntN(3)], nil
+			if voters < n && rnd.IntN(2) == 0 { // and times in which the fleet is in two parts
+				for range n {
+					w.side = append(w.side, rnd.IntN(2))
+				}
+			}
 		}
-		w.budget = [4]int{}
+		w.budget = budget{}
 		if rnd.Float64() < fault {
-			w.budget[rnd.IntN(4)] = 1
+			w.budget[rnd.IntN(len(w.budget))] = 1
+		}
+		if voters < n && rnd.Float64() < doubt {
+			w.budget[doubts] = 1
 		}
 		if w.unset {
 			w.budget[amnesia] = 0
@@ -403,7 +534,7 @@
 		if m.do(w); w.bad != "" {
 			t.Fatalf("step %d, %s: %s", step, m.name, w.bad)
 		}
-		for len(w.net) > 4*n { // any are lost
+		for len(w.net) > most { // any are lost
 			k := rnd.IntN(len(w.net))
 			w.net = slices.Delete(w.net, k, k+1)
 		}
@@ -417,8 +548,12 @@
 			}
 		}
 	}
-	t.Logf("%d members, clocks never set %v: %d ownerships in %v, by %d of them", n, w.unset, ownerships, w.now, len(owners))
-	if ownerships < 10 || len(owners) < 2 {
+	t.Logf("%d members, clocks never set %v: %d ownerships in %v, by %d of them; %d changes of voters", n, w.unset, ownerships, w.now, len(owners), len(w.elected))
+	least := 10
+	if voters < n { // who dies may stay away for long
+		least = 3
+	}
+	if ownerships < least || len(owners) < 2 {
 		t.Errorf("%d ownerships in %v, by %d of %d members", ownerships, w.now, len(owners), n)
 	}
 }
@@ -427,7 +562,7 @@
 // ask again and again: another owns soon after, and never at the same time.
 func TestClocksAtTheirDrift(t *testing.T) {
 	for _, n := range []int{3, 5} {
-		w := settled(t, n, 0, [4]int{}, 0)
+		w := settled(t, n, 0, budget{}, 0)
 		first := slices.IndexFunc(w.members, func(m *member) bool { return m.t.bids["d"].owns })
 		w.step = unit / 20
 		slow, fast := 0.9, 0.9*(1+w.cfg.Drift)
@@ -509,11 +644,11 @@
 func TestOldAnswersDoNotCount(t *testing.T) {
 	cfg := small()
 	cfg.Self = "m"
-	table, err := New(cfg, 0, nil)
+	table, err := New(cfg, 0, nil, Electorate{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	table.Handle(0, Stand{Place: 9, Alive: []string{"m"}}) // no voter itself
+	table.Handle(0, Stand{Place: 3, Holders: []Holder{{}, {}, {}, {"m", true}}}) // no voter itself
 	answer := func(at time.Duration, asked []Action) {
 		for _, a := range asked {
 			if a, ok := a.(Tell); ok && a.Msg.Kind == Ask {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -2,7 +2,7 @@
 // pure: messages, the fleet's places and time come in as values, messages and ownerships come out. docs/design/owner.md states what
 // holds, and under which assumptions.
 //
-// A few members, those in the lowest places, are voters. Each grants a duty to one member at a time, for a lease by its own clock; who
+// A few members, at first those in the lowest places, are voters; one that is gone is replaced (voters.go). Each grants a duty to one member at a time, for a lease by its own clock; who
 // has a majority of all voters owns it for a little less, counted from when it asked. So no two own it at a time, whatever is lost,
 // late or doubled, as long as clocks run about alike and a voter that forgot what it granted abstains until it is over (PaxosLease,
 // Trencseni and Gazso, 2012).
@@ -11,10 +11,7 @@
 package owner
 
 import (
-	"cmp"
 	"fmt"
-	"hash/fnv"
-	"maps"
 	"slices"
 	"time"
 )
@@ -24,7 +21,7 @@
 	Self   string // its name
 	Life   uint64 // of its process: what a former one was granted is not this one's
 	Duties []string
-	Voters int // those in the places below this
+	Voters int // at first those in the places below this
 	Lease  time.Duration
 	Drift  float64       // by which clocks run faster or slower than another, as a share
 	Renew  time.Duration // an owner asks again so often; well under Lease
@@ -42,6 +39,8 @@
 	switch {
 	case c.Self == "":
 		return fmt.Errorf("owner: the member has no name")
+	case len(c.Duties) > dutiesMost:
+		return fmt.Errorf("owner: %d duties, of which messages have room for %d", len(c.Duties), dutiesMost)
 	case c.Voters < 1:
 		return fmt.Errorf("owner: %d voters, want 1 or more", c.Voters)
 	case c.Drift < 0 || c.Drift >= 0.5:
@@ -52,6 +51,8 @@
 	return nil
 }
 
+const dutiesMost = 10 // an electorate with their numbers is one message
+
 // holds is for how long an owner has a lease, from when it asked.
 func (c *Config) holds() time.Duration { return time.Duration(float64(c.Lease) * (1 - c.Drift)) }
 
@@ -67,16 +68,31 @@
 	Grant Kind = 'g'
 	Deny  Kind = 'd' // with what the voter knows
 	Free  Kind = 'f' // lets go of what was granted
+
+	// On who votes.
+	Read     Kind = 'r' // asks what holds
+	State    Kind = 's' // tells it, and what was accepted to hold next
+	Prepare  Kind = 'p' // asks for a promise to take no lower ballot
+	Promise  Kind = 'q' // with the ballot that is promised, and what was accepted
+	Accept   Kind = 'c' // asks to take the next epoch's seats
+	Accepted Kind = 'y' // with what was granted so far, if it votes
 )
 
 // Msg is what members say to each other.
 type Msg struct {
-	Kind   Kind
-	Duty   string
-	Number uint64        // of the ownership that is asked for; of a Deny: the highest that the voter granted
-	Who    string        // that asks, by name and life; of a Deny: the holder, "" if there is none
-	Round  uint64        // names the question, so that a late answer to a former one is told
-	Left   time.Duration // of a Deny: of the holder's lease
+	Kind   Kind          `cbor:"1,keyasint"`
+	Duty   string        `cbor:"2,keyasint,omitempty"`
+	Number uint64        `cbor:"3,keyasint,omitempty"` // of the ownership that is asked for; of a Deny: the highest that the voter granted; of a Promise or Accepted: the ballot
+	Who    string        `cbor:"4,keyasint,omitempty"` // that asks, by name and life; of a Deny: the holder, "" if there is none
+	Round  uint64        `cbor:"5,keyasint,omitempty"` // names the question, so that a late answer to a former one is told
+	Left   time.Duration `cbor:"6,keyasint,omitempty"` // of a Deny: of the holder's lease
+
+	Epoch   uint64    `cbor:"7,keyasint,omitempty"`  // of the electorate that the sender knows
+	Seats   []int     `cbor:"8,keyasint,omitempty"`  // of a State: who votes in it
+	Granted []Granted `cbor:"9,keyasint,omitempty"`  // of a State and Accepted: the highest numbers
+	Ballot  uint64    `cbor:"10,keyasint,omitempty"` // that is proposed, or was accepted
+	Next    []int     `cbor:"11,keyasint,omitempty"` // the next epoch's seats
+	Vacant  []int     `cbor:"12,keyasint,omitempty"` // seats that the fleet has given up
 }
 
 // Event is what a Table is told.
@@ -91,12 +107,14 @@
 	}
 	// Tick tells that time has passed. Wall is what the wall clock shows, in milliseconds since 1970: a floor for numbers.
 	Tick struct{ Wall uint64 }
-	// Stand tells this member's place in the fleet (below 0: none) and the names of the members that are alive, itself among them.
+	// Stand tells this member's place in the fleet (below 0: none), and whose the places are.
 	// Anew: the place is not the one that it had.
 	Stand struct {
-		Place int
-		Anew  bool
-		Alive []string
+		Place   int
+		Anew    bool
+		Alone   bool // cut off from the fleet's majority
+		Expect  int  // members that the fleet is meant to have
+		Holders []Holder
 	}
 	// Woke tells that the process stood still.
 	Woke struct{}
@@ -116,6 +134,12 @@
 func (Yield) event() {}
 func (Above) event() {}
 
+// Holder is whose a place is.
+type Holder struct {
+	Name  string // "": nobody's; the fleet has given it up
+	Alive bool
+}
+
 // Action is what is to be done.
 type Action interface{ action() }
 
@@ -133,15 +157,19 @@
 	}
 	// Lost tells that it owns it no more.
 	Lost struct{ Duty string }
+	// Elected tells that others vote from now on, or will if this is decided: it is to be kept.
+	Elected struct{ Electorate }
 )
 
-func (Tell) action() {}
-func (Own) action()  {}
-func (Lost) action() {}
+func (Tell) action()    {}
+func (Own) action()     {}
+func (Lost) action()    {}
+func (Elected) action() {}
 
 // vote is what a voter knows of a duty.
 type vote struct {
 	number uint64 // the highest that it granted
+	by     uint32 // markOf who it was granted to; 0: let go
 	holder string // of the last lease; "": let go
 	until  time.Duration
 }
@@ -152,8 +180,10 @@
 	round    uint64 // of the last question
 	asked    time.Duration
 	asking   bool
-	grants   []int // places that granted the last question
-	granted  []int // those that granted the number at all
+	epoch    uint64 // of the question
+	seats    []int  // that are asked
+	grants   []int  // places that granted the last question
+	granted  []int  // those that granted the number at all
 	until    time.Duration
 	owns     bool
 	above    uint64 // the highest number that was heard of
@@ -173,6 +203,11 @@
 	who     string // name and life
 	place   int
 	alive   []string
+	holders []holder
+	expect  int
+	alone   bool
+	turn    int // in the order of those who propose other voters
+	reg     register
 	abstain time.Duration // it grants nothing before this
 	votes   map[string]*vote
 	bids    map[string]*bid
@@ -181,13 +216,28 @@
 	out     []Action
 }
 
+// holder is whose a place is, and since when it is without one.
+type holder struct {
+	Holder
+	place int
+	gone  time.Duration // since when nobody is there who is alive
+	since time.Duration // since when it is nobody's
+}
+
 // New makes the table of a member without a place, that remembers nothing: it abstains as a voter until what it may have granted
-// before is over. floor are the highest numbers that it knows of, such as by its disk; nil: none.
-func New(cfg Config, now time.Duration, floor map[string]uint64) (*Table, error) {
+// before is over. floor are the highest numbers that it knows of, and last is the electorate, such as by its disk; zero values: none.
+func New(cfg Config, now time.Duration, floor map[string]uint64, last Electorate) (*Table, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
 	t := &Table{cfg: cfg, now: now, who: fmt.Sprintf("%s.%d", cfg.Self, cfg.Life), place: -1, abstain: now + cfg.abstains(), votes: map[string]*vote{}, bids: map[string]*bid{}}
+	t.reg = register{Electorate: last, promised: last.Ballot, taken: map[int]bool{}, from: map[int]bool{}}
+	if last.Epoch == 0 {
+		t.reg.Seats = nil
+		for p := range cfg.Voters {
+			t.reg.Seats = append(t.reg.Seats, p)
+		}
+	}
 	for _, d := range cfg.Duties {
 		t.votes[d], t.bids[d] = &vote{number: floor[d]}, &bid{above: floor[d]}
 	}
@@ -205,10 +255,12 @@
 		t.heard(e.From, e.Msg)
 	case Tick:
 		t.wall = e.Wall
+		t.tickVoters()
 		t.tick()
 	case Stand:
 		t.stand(e)
 	case Woke:
+		t.readAnew()
 		for _, d := range t.cfg.Duties { // its leases may be over, and its questions are
 			b := t.bids[d]
 			b.asking = false
@@ -284,152 +336,35 @@
 	return all
 }
 
-// ---- As a voter.
-
-// votes reports that it votes, and remembers what it granted.
-func (t *Table) mayVote() bool {
-	return t.place >= 0 && t.place < t.cfg.Voters && t.now >= t.abstain
-}
-
-// ask answers a question. It is granted if the number is above all that were granted, and the lease of the last one is over or the
-// asker's own; and renewed to its holder.
-func (t *Table) ask(from int, m Msg) {
-	v := t.votes[m.Duty]
-	if v == nil || !t.mayVote() {
-		return
-	}
-	held := v.holder != "" && t.now < v.until
-	renews := v.holder == m.Who && v.number == m.Number
-	if !renews && (m.Number <= v.number || held && v.holder != m.Who) {
-		d := Msg{Kind: Deny, Duty: m.Duty, Number: v.number, Round: m.Round}
-		if held {
-			d.Who, d.Left = v.holder, v.until-t.now
-		}
-		t.do(Tell{from, d})
-		return
-	}
-	v.number, v.holder, v.until = m.Number, m.Who, t.now+t.cfg.Lease
-	t.do(Tell{from, Msg{Kind: Grant, Duty: m.Duty, Number: m.Number, Who: m.Who, Round: m.Round}})
-}
-
-// free lets go of a lease, if it is that one: a late word must not end a later ownership.
-func (t *Table) free(m Msg) {
-	if v := t.votes[m.Duty]; v != nil && v.holder == m.Who && v.number == m.Number {
-		v.holder = ""
-	}
-}
-
-// ---- As a member that owns, or would.
-
-func (t *Table) heard(from int, m Msg) {
-	switch m.Kind {
-	case Ask:
-		t.ask(from, m)
-		return
-	case Free:
-		t.free(m)
-		return
-	}
-	b := t.bids[m.Duty]
-	if b == nil || from < 0 || from >= t.cfg.Voters || m.Round != b.round || !b.asking {
-		return
-	}
-	if m.Kind == Deny {
-		b.above = max(b.above, m.Number)
-		if m.Who != "" && m.Who != t.who {
-			b.rival, b.rivalFor = m.Who, t.now+m.Left
-		}
-		return
-	}
-	if m.Number != b.number || slices.Contains(b.grants, from) {
-		return
-	}
-	b.grants = append(b.grants, from)
-	if !slices.Contains(b.granted, from) {
-		b.granted = append(b.granted, from)
-	}
-	if 2*len(b.grants) <= t.cfg.Voters {
-		return
+func (t *Table) stand(e Stand) {
+	if e.Place != t.place && (e.Anew || t.place >= 0) { // a voter's place may have been another's, who granted
+		t.abstainAnew()
 	}
-	// It counts from when it asked: a voter's lease began later.
-	if until := b.asked + t.cfg.holds(); until > t.now {
-		b.until, b.asking, b.next = until, false, b.asked+t.cfg.Renew
-		if !b.owns {
-			b.owns = true
-			t.do(Own{m.Duty, b.number})
-		}
+	if e.Place != t.place || e.Anew {
+		t.readAnew()
 	}
-}
-
-func (t *Table) tick() {
-	for _, d := range t.cfg.Duties {
-		b := t.bids[d]
-		if b.owns && t.now >= b.until {
-			t.end(d, b)
+	t.place, t.alone, t.expect = e.Place, e.Alone, e.Expect
+	var alive []string
+	for p, h := range e.Holders {
+		if p == len(t.holders) {
+			t.holders = append(t.holders, holder{place: p, gone: t.now, since: t.now})
 		}
-		if b.asking && t.now >= b.asked+t.cfg.Answer {
-			b.asking = false
-			if !b.owns {
-				t.letGo(d, b) // it fell short
-				b.next = t.now + t.cfg.Answer + b.turn
-			}
+		old := &t.holders[p]
+		if h.Alive {
+			alive = append(alive, h.Name)
+		} else if old.Alive {
+			old.gone = t.now
 		}
-		switch {
-		case t.place < 0 || b.asking || t.now < b.next:
-		case b.owns:
-			t.question(d, b)
-		case b.candidate && t.now >= b.yielded && t.now >= b.rivalFor+b.turn:
-			b.number, b.granted = max(b.above+1, b.number+1, t.wall), nil
-			t.question(d, b)
+		if h.Name == "" && old.Name != "" {
+			old.since = t.now
+			delete(t.reg.taken, p)
 		}
+		old.Holder = h
 	}
-}
-
-// question asks all voters.
-func (t *Table) question(d string, b *bid) {
-	t.rounds++
-	b.round, b.asked, b.asking, b.grants = t.rounds, t.now, true, nil
-	for p := range t.cfg.Voters {
-		t.do(Tell{p, Msg{Kind: Ask, Duty: d, Number: b.number, Who: t.who, Round: b.round}})
-	}
-}
-
-// letGo has those that granted the number grant another one at once.
-func (t *Table) letGo(d string, b *bid) {
-	for _, p := range b.granted {
-		t.do(Tell{p, Msg{Kind: Free, Duty: d, Number: b.number, Who: t.who}})
-	}
-	b.granted = nil
-}
-
-// end ends an ownership. Answers to its renewal that come later count no more: the next one has a number of its own.
-func (t *Table) end(d string, b *bid) {
-	if b.owns {
-		b.owns, b.asking, b.until = false, false, 0
-		t.do(Lost{d})
-	}
-}
-
-// yield ends an ownership before its time. It may not be taken up here for a lease.
-func (t *Table) yield(d string, b *bid) {
-	b.asking = false
-	t.end(d, b)
-	t.letGo(d, b)
-	b.yielded = t.now + t.cfg.Lease
-}
-
-func (t *Table) stand(e Stand) {
-	if e.Place != t.place && (e.Anew || t.place >= 0) { // a voter's place may have been another's, who granted
-		t.abstain = max(t.abstain, t.now+t.cfg.abstains())
-		for _, v := range t.votes {
-			v.holder, v.until = "", 0
-		}
-	}
-	if alive := slices.Sorted(slices.Values(e.Alive)); !slices.Equal(alive, t.alive) {
+	if slices.Sort(alive); !slices.Equal(alive, t.alive) {
 		t.alive = alive
 		t.order()
 	}
-	t.place = e.Place
 	if t.place < 0 {
 		for _, d := range t.cfg.Duties {
 			b := t.bids[d]
@@ -438,55 +373,3 @@
 		}
 	}
 }
-
-// order finds who proposes itself for which duty, and how much later than the first: a few of each duty's order, as the others would only ask
-// in vain. When these are gone the members that are alive are others.
-func (t *Table) order() {
-	for _, d := range t.cfg.Duties {
-		n := slices.Index(Order(d, t.alive), t.cfg.Self)
-		t.bids[d].candidate, t.bids[d].turn = n >= 0 && n < candidates, t.cfg.Step*time.Duration(n)
-	}
-}
-
-const candidates = 3 // of a duty
-
-// Order is in which order members propose themselves for a duty: by rendezvous hashing, so that duties are spread over all and the death of a
-// member moves its own alone.
-func Order(duty string, members []string) []string {
-	score := map[string]uint64{}
-	for _, m := range members {
-		h := fnv.New64a()
-		h.Write([]byte(duty + "\x00" + m))
-		score[m] = h.Sum64()
-	}
-	return slices.SortedFunc(maps.Keys(score), func(a, b string) int { return cmp.Or(cmp.Compare(score[a], score[b]), cmp.Compare(a, b)) })
-}
-
-// Fence is what a receiver keeps of each duty: the highest number that it took, and whose. The zero value has taken none.
-type Fence struct {
-	taken  map[string]Mark
-	Turned map[string]uint64 // actions that were turned away, by who sent them
-}
-
-// Mark is an ownership.
-type Mark struct {
-	Number uint64
-	Who    string
-}
-
-// Take reports whether an action of an owner may be carried out: none of a higher number was. If not, it tells what stands above.
-func (f *Fence) Take(duty string, m Mark) (above Mark, ok bool) {
-	if f.taken == nil {
-		f.taken, f.Turned = map[string]Mark{}, map[string]uint64{}
-	}
-	if old := f.taken[duty]; m.Number < old.Number || m.Number == old.Number && old.Who != "" && m.Who != old.Who {
-		if _, known := f.Turned[m.Who]; known || len(f.Turned) < turnedMost {
-			f.Turned[m.Who]++
-		}
-		return old, false
-	}
-	f.taken[duty] = m
-	return m, true
-}
-
-const turnedMost = 4096 // members that are counted by name
--- /dev/null
+++ b/internal/owner/voters_test.go
@@ -0,0 +1,289 @@
+package owner
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// crew is members whose messages come at once, unless one of the two is down.
+type crew struct {
+	t       *testing.T
+	now     time.Duration
+	tables  []*Table
+	down    map[int]bool
+	holders []Holder
+	voters  map[uint64][]int // by epoch
+}
+
+func newCrew(t *testing.T, n int) *crew {
+	c := &crew{t: t, now: time.Hour, down: map[int]bool{}, voters: map[uint64][]int{}}
+	for i := range n {
+		c.holders = append(c.holders, Holder{Name: name(i), Alive: true})
+	}
+	for i := range n {
+		c.tables = append(c.tables, c.start(i, Electorate{}))
+	}
+	for i := range n {
+		c.stand(i)
+	}
+	return c
+}
+
+func (c *crew) start(i int, last Electorate) *Table {
+	cfg := small()
+	cfg.Self, cfg.Life = name(i), uint64(c.now)
+	table, err := New(cfg, c.now, nil, last)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return table
+}
+
+func (c *crew) stand(i int) {
+	c.do(i, c.tables[i].Handle(c.now, Stand{Place: i, Expect: len(c.tables), Holders: slices.Clone(c.holders)}))
+}
+
+// tell changes what all that are there know of a place.
+func (c *crew) tell(i int, h Holder) {
+	c.holders[i] = h
+	for k := range c.tables {
+		if !c.down[k] {
+			c.stand(k)
+		}
+	}
+}
+
+func (c *crew) do(i int, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Tell:
+			if !c.down[a.To] && !c.down[i] {
+				c.do(a.To, c.tables[a.To].Handle(c.now, Heard{i, a.Msg}))
+			}
+		case Elected:
+			if old := c.voters[a.Epoch]; old != nil && !slices.Equal(old, a.Seats) {
+				c.t.Errorf("in epoch %d vote %v and %v", a.Epoch, old, a.Seats)
+			}
+			c.voters[a.Epoch] = a.Seats
+		}
+	}
+}
+
+// until lets time pass until something holds, and returns how long that took.
+func (c *crew) until(what string, done func() bool) time.Duration {
+	c.t.Helper()
+	for from := c.now; ; {
+		c.now += unit / 5
+		for i := range c.tables {
+			if !c.down[i] {
+				c.do(i, c.tables[i].Handle(c.now, Tick{Wall: uint64(c.now / time.Millisecond)}))
+			}
+		}
+		if done() {
+			return c.now - from
+		}
+		if c.now-from > 200*unit {
+			c.t.Fatalf("not within %v: %s", c.now-from, what)
+		}
+	}
+}
+
+// owned reports that one who is there owns.
+func (c *crew) owned() bool {
+	return slices.ContainsFunc(c.tables, func(t *Table) bool {
+		i := slices.Index(c.tables, t)
+		_, ok := t.May(c.now, "d")
+		return ok && !c.down[i]
+	})
+}
+
+func (c *crew) die(who ...int) {
+	for _, i := range who {
+		c.down[i] = true
+	}
+	for _, i := range who {
+		c.tell(i, Holder{Name: name(i)})
+	}
+}
+
+// TestVotersDieOneAfterTheOther: of seven members three vote; four die one after the other, the voters first, each as soon as the one before
+// was replaced. The work goes on each time within what the note states.
+func TestVotersDieOneAfterTheOther(t *testing.T) {
+	c := newCrew(t, 7)
+	c.until("an owner", c.owned)
+	most := c.tables[0].cfg.Lease + 6*c.tables[0].cfg.Step + c.tables[0].cfg.abstains() + 2*unit
+	for range 3 {
+		dead := c.tables[6].reg.Seats[0]
+		c.die(dead)
+		took := c.until("others vote", func() bool { return !slices.Contains(c.tables[6].reg.Seats, dead) })
+		took += c.until("an owner", func() bool {
+			return c.owned() && c.now >= c.tables[c.tables[6].reg.Seats[0]].abstain
+		})
+		t.Logf("m%d died: %v vote, and one owns, %v later", dead, c.tables[6].reg.Seats, took)
+		if took > most {
+			t.Errorf("it took %v, want %v at most", took, most)
+		}
+	}
+}
+
+// TestTwoOfThreeVotersDieAtOnce: no one votes on in their place before the fleet has given up their places; then the work goes on. When the two
+// come back with what they knew, they find that others vote.
+func TestTwoOfThreeVotersDieAtOnce(t *testing.T) {
+	c := newCrew(t, 5)
+	c.until("an owner", c.owned)
+	c.die(0, 2)
+	for end := c.now + 60*unit; c.now < end; {
+		c.until("time passes", func() bool { return true })
+	}
+	if len(c.voters) > 0 && c.tables[1].reg.Epoch > 0 {
+		t.Fatalf("%v vote without a majority of the former voters", c.tables[1].reg.Seats)
+	}
+	c.tell(0, Holder{})
+	c.tell(2, Holder{})
+	took := c.until("an owner", func() bool { return c.owned() && c.tables[1].reg.Epoch == 2 })
+	t.Logf("given up; the work goes on %v later, voters are %v", took, c.tables[1].reg.Seats)
+	if slices.Contains(c.tables[1].reg.Seats, 0) || slices.Contains(c.tables[1].reg.Seats, 2) {
+		t.Errorf("%v vote", c.tables[1].reg.Seats)
+	}
+	for _, i := range []int{0, 2} {
+		c.down[i] = false
+		c.tables[i] = c.start(i, c.tables[i].Electorate())
+		c.tell(i, Holder{Name: name(i), Alive: true})
+	}
+	c.until("the two know who votes", func() bool { return c.tables[0].reg.Epoch == 2 && c.tables[2].reg.Epoch == 2 })
+}
+
+// TestVotersRules are the rules of a change that walks of the model meet too seldom, one message each. Member 3 is the one that is asked.
+func TestVotersRules(t *testing.T) {
+	accept := Msg{Kind: Accept, Ballot: 5, Next: []int{1, 3, 4}}
+	kinds := func(c *crew, from int, m Msg) (all []Kind) {
+		for _, a := range c.tables[3].Handle(c.now, Heard{from, m}) {
+			if a, ok := a.(Tell); ok {
+				all = append(all, a.Msg.Kind)
+			}
+		}
+		return all
+	}
+	ready := func(t *testing.T) *crew {
+		c := newCrew(t, 5)
+		c.until("an owner", c.owned)
+		c.until("none abstains", func() bool { return c.now >= c.tables[3].abstain })
+		return c
+	}
+	t.Run("seats are not taken for vacant that have a holder here", func(t *testing.T) {
+		c := ready(t)
+		m := accept
+		m.Vacant = []int{2}
+		if got := kinds(c, 1, m); len(got) != 0 {
+			t.Errorf("answered %c", got)
+		}
+		c.down[2] = true
+		c.tell(2, Holder{})
+		if got := kinds(c, 1, m); !slices.Equal(got, []Kind{Accepted}) {
+			t.Errorf("vacant here too, and answered %c", got)
+		}
+	})
+	t.Run("nor those that asked what holds, as they are back", func(t *testing.T) {
+		c := ready(t)
+		c.down[2] = true
+		c.tell(2, Holder{})
+		kinds(c, 2, Msg{Kind: Read, Round: 1})
+		m := accept
+		m.Vacant = []int{2}
+		if got := kinds(c, 1, m); len(got) != 0 {
+			t.Errorf("answered %c", got)
+		}
+	})
+	t.Run("a voter that starts grants nothing before a majority has told who votes", func(t *testing.T) {
+		c := ready(t)
+		c.tables[1] = c.start(1, Electorate{})
+		c.down = map[int]bool{0: true, 2: true, 3: true, 4: true}
+		c.stand(1)
+		c.until("it abstains no more", func() bool { return c.now >= c.tables[1].abstain })
+		ask := Heard{4, Msg{Kind: Ask, Duty: "d", Number: 1 << 40, Who: "m4.1", Round: 9}}
+		if got := c.tables[1].Handle(c.now, ask); len(got) != 0 {
+			t.Errorf("alone it says %+v", got)
+		}
+		c.down = map[int]bool{0: true}
+		c.until("it has read", func() bool { return c.tables[1].reg.read })
+	})
+	t.Run("a new voter knows the numbers of those before it", func(t *testing.T) {
+		c := ready(t)
+		e := Electorate{Epoch: 1, Seats: []int{1, 3, 4}, Granted: []Granted{{Number: 77, By: markOf("m1.1")}}}
+		kinds(c, 1, Msg{Kind: State, Epoch: e.Epoch, Seats: e.Seats, Granted: e.Granted})
+		c.tables[3].reg.read = true
+		ask := Msg{Kind: Ask, Duty: "d", Number: 77, Who: "m4.1", Round: 9, Epoch: 1}
+		if got := kinds(c, 4, ask); len(got) != 0 {
+			t.Errorf("a new voter does not abstain: it says %c", got)
+		}
+		c.now = c.tables[3].abstain
+		if got := kinds(c, 4, ask); !slices.Equal(got, []Kind{Deny}) {
+			t.Errorf("another's number again: it says %c", got)
+		}
+		ask.Who = "m1.1"
+		if got := kinds(c, 1, ask); !slices.Equal(got, []Kind{Grant}) {
+			t.Errorf("the owner's renewal: it says %c", got)
+		}
+	})
+	t.Run("a voter of an epoch before the last abstains", func(t *testing.T) {
+		c := ready(t)
+		at := c.tables[1].abstain
+		c.tables[1].Handle(c.now, Heard{3, Msg{Kind: State, Epoch: 2, Seats: []int{1, 3, 4}}})
+		if c.tables[1].abstain <= at {
+			t.Error("it may have been no voter in between, and grants at once")
+		}
+	})
+	t.Run("questions and grants of another epoch count for nothing", func(t *testing.T) {
+		c := ready(t)
+		kinds(c, 1, Msg{Kind: State, Epoch: 1, Seats: []int{1, 3, 4}})
+		c.tables[3].reg.read = true
+		c.now = c.tables[3].abstain
+		if got := kinds(c, 4, Msg{Kind: Ask, Duty: "d", Number: 1 << 40, Who: "m4.1", Round: 9}); !slices.Equal(got, []Kind{State}) {
+			t.Errorf("asked by the former epoch it says %c", got)
+		}
+		if got := kinds(c, 4, Msg{Kind: Ask, Duty: "d", Number: 1 << 40, Who: "m4.1", Round: 9, Epoch: 2}); !slices.Equal(got, []Kind{Read}) {
+			t.Errorf("asked by a later epoch it says %c", got)
+		}
+		b := c.tables[3].bids["d"]
+		*b = bid{number: 9, round: 7, asking: true, asked: c.now, epoch: 1, seats: []int{1, 3, 4}}
+		for _, from := range b.seats {
+			kinds(c, from, Msg{Kind: Grant, Duty: "d", Number: 9, Round: 7})
+		}
+		if b.owns {
+			t.Error("it owns by grants of the former epoch")
+		}
+	})
+	t.Run("a proposal is given up in time", func(t *testing.T) {
+		c := ready(t)
+		c.tables[3].reg.bid = proposal{ballot: 5, began: c.now, accepts: true, seats: accept.Next, answers: map[int]bool{}}
+		c.now += c.tables[3].cfg.Lease
+		for from := range 5 {
+			kinds(c, from, Msg{Kind: Accepted, Number: 5})
+		}
+		if c.tables[3].reg.Epoch != 0 {
+			t.Error("voters were changed by answers of long ago: who gave them may have forgotten")
+		}
+	})
+}
+
+// TestMessagesFit: the largest message on voters has room in 256 bytes, which is what the engine takes.
+func TestMessagesFit(t *testing.T) {
+	m := Msg{Kind: State, Round: 1 << 30, Epoch: 1 << 20, Ballot: 1 << 40}
+	for p := range 9 {
+		m.Seats, m.Next = append(m.Seats, 4087+p), append(m.Next, 4087+p)
+	}
+	for range dutiesMost {
+		m.Granted = append(m.Granted, Granted{Number: 1 << 41, By: 1 << 31})
+	}
+	b, err := cbor.Marshal(m)
+	if err != nil || len(b) > 256 {
+		t.Errorf("%d bytes, %v", len(b), err)
+	}
+	m = Msg{Kind: Accept, Epoch: 1 << 20, Ballot: 1 << 40, Next: m.Next, Vacant: m.Next}
+	if b, err = cbor.Marshal(m); err != nil || len(b) > 256 {
+		t.Errorf("%d bytes, %v", len(b), err)
+	}
+}
--- a/internal/world/owners.go
+++ b/internal/world/owners.go
@@ -17,6 +17,8 @@
 	Members []*OwnerMember
 	// Noticed is how long it takes until all know that a member is gone or back.
 	Noticed time.Duration
+	// Hold is for how long a place is kept for who is gone.
+	Hold time.Duration
 	// Changed is told who owns a duty from now on, and that it does no more.
 	Changed func(m *OwnerMember, duty string, owns bool)
 
@@ -31,12 +33,14 @@
 	Table *owner.Table
 	Up    bool
 
-	gen int
+	gen    int
+	died   time.Duration
+	voters owner.Electorate // on its disk
 }
 
 // NewOwners makes members in the places of their numbers, all up.
 func NewOwners(k *Kernel, net *Network, conf owner.Config, n int) (*Owners, error) {
-	o := &Owners{K: k, Net: net, Noticed: 8 * time.Second, Changed: func(*OwnerMember, string, bool) {}, conf: conf}
+	o := &Owners{K: k, Net: net, Noticed: 8 * time.Second, Hold: 3 * time.Minute, Changed: func(*OwnerMember, string, bool) {}, conf: conf}
 	for i := range n {
 		o.Members = append(o.Members, &OwnerMember{No: i})
 	}
@@ -58,14 +62,14 @@
 	o.lives++
 	conf := o.conf
 	conf.Self, conf.Life = ownerName(m.No), o.lives
-	t, err := owner.New(conf, o.K.Now(), nil)
+	t, err := owner.New(conf, o.K.Now(), nil, m.voters)
 	if err != nil {
 		return err
 	}
 	m.Table, m.Up = t, true
 	m.gen++
 	gen := m.gen
-	o.tell(m, owner.Stand{Place: m.No, Alive: o.alive()})
+	o.tell(m, o.stand(m))
 	o.K.Every(ownersTick, ownersTick, func() bool {
 		if m.gen == gen && m.Up {
 			o.tell(m, owner.Tick{Wall: uint64(o.K.Now() / time.Millisecond)})
@@ -78,26 +82,30 @@
 
 // Kill ends a member's process.
 func (o *Owners) Kill(m *OwnerMember) {
-	m.Up = false
+	m.Up, m.died = false, o.K.Now()
 	o.K.After(o.Noticed, o.standAll)
+	o.K.After(o.Hold+o.Noticed, o.standAll)
 }
 
 func (o *Owners) standAll() {
-	alive := o.alive()
 	for _, m := range o.Members {
 		if m.Up {
-			o.tell(m, owner.Stand{Place: m.No, Alive: alive})
+			o.tell(m, o.stand(m))
 		}
 	}
 }
 
-func (o *Owners) alive() (names []string) {
+// stand is how a member stands now. Who is gone keeps its place until Hold is over.
+func (o *Owners) stand(m *OwnerMember) owner.Stand {
+	s := owner.Stand{Place: m.No, Expect: len(o.Members)}
 	for _, x := range o.Members {
-		if x.Up {
-			names = append(names, ownerName(x.No))
+		h := owner.Holder{Name: ownerName(x.No), Alive: x.Up}
+		if !x.Up && o.K.Now()-x.died >= o.Hold {
+			h.Name = ""
 		}
+		s.Holders = append(s.Holders, h)
 	}
-	return names
+	return s
 }
 
 func (o *Owners) tell(m *OwnerMember, e owner.Event) {
@@ -114,6 +122,8 @@
 			o.Changed(m, a.Duty, true)
 		case owner.Lost:
 			o.Changed(m, a.Duty, false)
+		case owner.Elected:
+			m.voters = a.Electorate
 		}
 	}
 }
--- a/internal/world/owners_test.go
+++ b/internal/world/owners_test.go
@@ -86,6 +86,7 @@
 		}
 		k.Run(k.Now() + 20*time.Second)
 	}
+	renew(t, o, duties, numbers)
 	slices.Sort(without)
 	t.Logf("without an owner after a death: %v in the middle, %v at worst", without[deaths/2], without[deaths-1])
 	if len(owners) < 3 {
@@ -95,3 +96,52 @@
 		t.Errorf("without an owner for %v after a death, want %v at most", without[deaths-1], most)
 	}
 }
+
+// renew kills three voters one after the other, each when all knew that the one before was replaced, and then a majority of them at once:
+// the duties are owned on or again, after the places were given up at the latest.
+func renew(t *testing.T, o *Owners, duties int, numbers map[string]uint64) {
+	t.Helper()
+	watcher := o.Members[len(o.Members)-1]
+	votes := func(m *OwnerMember) bool { return slices.Contains(watcher.Table.Electorate().Seats, m.No) }
+	owned := func() bool {
+		n := 0
+		for _, m := range o.Members {
+			for d := range duties {
+				if _, ok := m.Table.May(o.K.Now(), fmt.Sprint("duty", d)); ok && m.Up {
+					n++
+				}
+			}
+		}
+		return n == duties
+	}
+	wait := func(what string, most time.Duration, done func() bool) time.Duration {
+		t.Helper()
+		for from := o.K.Now(); ; o.K.Run(o.K.Now() + 50*time.Millisecond) {
+			if done() {
+				return o.K.Now() - from
+			}
+			if o.K.Now()-from > most {
+				t.Fatalf("not within %v: %s", most, what)
+			}
+		}
+	}
+	var took []time.Duration
+	for range 3 {
+		victim := o.Members[watcher.Table.Electorate().Seats[1]]
+		sent := o.Sent
+		o.Kill(victim)
+		took = append(took, wait("a voter is replaced", 2*time.Minute, func() bool { return !votes(victim) }))
+		t.Logf("a voter died and was replaced %v later; %d messages of all members meanwhile", took[len(took)-1], o.Sent-sent)
+		o.K.Run(o.K.Now() + 10*time.Second) // the new one abstains
+	}
+	wait("all is owned", time.Minute, owned)
+	dead := o.Members[:0:0]
+	for _, p := range watcher.Table.Electorate().Seats[:3] {
+		dead = append(dead, o.Members[p])
+		o.Kill(o.Members[p])
+	}
+	took = append(took, wait("others vote and all is owned", o.Hold+2*time.Minute, func() bool {
+		return owned() && !slices.ContainsFunc(dead, votes)
+	}))
+	t.Logf("three of five voters died at once: all is owned again %v later", took[len(took)-1])
+}
