--- /dev/null
+++ b/internal/stand/brittle/brittle.go
@@ -0,0 +1,181 @@
+// Package brittle is connections of which the nth read, write, look, deadline, close or accept fails, as the kernel's own do: for
+// tests that fail each of them in turn.
+package brittle
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Op is what fails.
+type Op int
+
+// The operations.
+const (
+	None     Op = iota
+	Read        // fails with a reset
+	Write       // by the kernel at once or waiting: nothing is taken, and it fails with a reset
+	Look        // at what waits in the kernel
+	Deadline    // the setting of one
+	Close       // is done, and reports an error
+	Accept      // fails once, as when descriptors run out
+	ops
+)
+
+func (o Op) String() string {
+	return [...]string{"none", "read", "write", "look", "deadline", "close", "accept"}[o]
+}
+
+// Plan fails the nth operation of a kind, and counts. It may be shared by connections.
+type Plan struct {
+	Op Op
+	N  int // from 1
+
+	mu    sync.Mutex
+	did   [ops]int
+	open  int
+	first *Conn
+}
+
+// fails counts an operation and reports whether it is the one.
+func (p *Plan) fails(o Op) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.did[o]++
+	return o == p.Op && p.did[o] == p.N
+}
+
+// Hit reports that the operation came to be.
+func (p *Plan) Hit() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.did[p.Op] >= p.N
+}
+
+// Open is how many connections are not closed.
+func (p *Plan) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// Closed reports that the first one was closed.
+func (p *Plan) Closed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.first != nil && p.first.closed
+}
+
+// Conn is a connection under a plan.
+type Conn struct {
+	*net.TCPConn
+	plan *Plan
+	once sync.Once
+
+	closed bool // under the plan's lock
+}
+
+// Wrap puts a connection under a plan.
+func (p *Plan) Wrap(c net.Conn) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open++
+	w := &Conn{TCPConn: c.(*net.TCPConn), plan: p}
+	if p.first == nil {
+		p.first = w
+	}
+	return w
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	if c.plan.fails(Read) {
+		return 0, syscall.ECONNRESET
+	}
+	return c.TCPConn.Read(b)
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	if c.plan.fails(Write) {
+		return 0, syscall.ECONNRESET
+	}
+	return c.TCPConn.Write(b)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if c.plan.fails(Deadline) {
+		return net.ErrClosed
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	if c.plan.fails(Deadline) {
+		return net.ErrClosed
+	}
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	err := c.TCPConn.Close()
+	c.once.Do(func() {
+		c.plan.mu.Lock()
+		defer c.plan.mu.Unlock()
+		c.plan.open--
+		c.closed = true
+	})
+	if c.plan.fails(Close) {
+		return syscall.EIO
+	}
+	return err
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return rawConn{raw, c.plan}, err
+}
+
+type rawConn struct {
+	syscall.RawConn
+	plan *Plan
+}
+
+func (r rawConn) Write(f func(fd uintptr) bool) error {
+	if r.plan.fails(Write) {
+		return syscall.ECONNRESET
+	}
+	return r.RawConn.Write(f)
+}
+
+func (r rawConn) Control(f func(fd uintptr)) error {
+	if r.plan.fails(Look) {
+		return net.ErrClosed
+	}
+	return r.RawConn.Control(f)
+}
+
+// Listener accepts connections under a plan.
+type Listener struct {
+	net.Listener
+	Plan *Plan
+}
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if l.Plan.fails(Accept) {
+		c.Close()
+		return nil, syscall.EMFILE
+	}
+	return l.Plan.Wrap(c), nil
+}
