Give out each port once in a process: five fleets side by side could find their ports taken

Now a process gives out each port once, until most of its part are, and processes side by side look in eighths of the range by their pid.

--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"sync"
 	"time"
 )
 
@@ -51,17 +53,36 @@
 	portFrom  = 20000
 	portMost  = 32767
 	portTries = 1000
+	portParts = 8 // of the range: processes side by side have pids that are near each other
 )
 
-// Places finds free loopback ports for so many gateways. They are free as they are looked up; a start that finds one
-// taken says so.
+// given are the ports that Places has given out in this process. A gateway that is not started yet, or is down, leaves its ports free: where
+// five fleets of five drew theirs from the whole range, two had one in common in one run of twelve, by chance.
+var given struct {
+	sync.Mutex
+	ports map[int]bool
+}
+
+// Places finds free loopback ports for so many gateways, none of them twice in a process; processes side by side look in different parts of
+// the range. They are free as they are looked up; a start that finds one taken says so.
 func Places(n int) ([]Place, error) {
+	given.Lock()
+	defer given.Unlock()
+	if given.ports == nil {
+		given.ports = map[int]bool{}
+	}
+	part := (portMost - portFrom + 1) / portParts
+	from := portFrom + os.Getpid()%portParts*part
 	var all []Place
 	for tries := 0; len(all) < n; tries++ {
 		if tries == portTries {
 			return nil, fmt.Errorf("looking for ports: %d of %d were found in %d tries", len(all), n, tries)
 		}
-		addr := fmt.Sprintf("127.0.0.1:%d", portFrom+rand.IntN(portMost-portFrom+1))
+		port := from + rand.IntN(part)
+		if given.ports[port] && tries < portTries/2 { // later: most of the part was given out
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue // taken
@@ -72,6 +93,7 @@
 			continue
 		}
 		defer udp.Close()
+		given.ports[port] = true
 		all = append(all, Place{addr, addr})
 	}
 	return all, nil
