--- a/internal/gossip/state.go
+++ b/internal/gossip/state.go
@@ -10,7 +10,6 @@
 	"slices"
 	"time"
 
-
 	"sloepick/internal/fleet"
 	"sloepick/internal/owner"
 )
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"strconv"
 
-
 	"sloepick/internal/fleet"
 )
 
