Let each process claim a part of the test ports: suites side by side could be given the same

One of the first three runs of the whole suite beside another failed: TestState of gossip found "listen tcp 127.0.0.1:31329: bind: address already in use". Places looked in an eighth of the range by process id, so test binaries side by side (six to twelve) shared parts, and a member that is down leaves its port free for the other. Now a process claims one of 32 parts by listening on its first port for as long as it lives.

--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
 	"sync"
 	"time"
 )
@@ -53,32 +52,49 @@
 	portFrom  = 20000
 	portMost  = 32767
 	portTries = 1000
-	portParts = 8 // of the range: processes side by side have pids that are near each other
+	portParts = 32 // of the range: so many processes side by side have one each, of 398 ports
 )
 
-// given are the ports that Places has given out in this process. A gateway that is not started yet, or is down, leaves its ports free: where
-// five fleets of five drew theirs from the whole range, two had one in common in one run of twelve, by chance.
+// given are the ports that Places has given out in this process, and the part of the range that is this process's. A gateway that is not
+// started yet, or is down, leaves its ports free, so neither this process nor another may find them meanwhile.
 var given struct {
 	sync.Mutex
 	ports map[int]bool
+	claim net.Listener // on the first port of the part, for as long as the process lives
+	from  int
 }
 
-// Places finds free loopback ports for so many gateways, none of them twice in a process; processes side by side look in different parts of
-// the range. They are free as they are looked up; a start that finds one taken says so.
+// claimPart takes a part of the range that no other process has: whoever listens on a part's first port owns it. Where all are taken
+// one is shared.
+func claimPart() {
+	const part = (portMost - portFrom + 1) / portParts
+	first := rand.IntN(portParts)
+	for i := range portParts {
+		given.from = portFrom + (first+i)%portParts*part
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", given.from))
+		if err == nil {
+			given.claim = ln
+			return
+		}
+	}
+}
+
+// Places finds free loopback ports for so many gateways, none of them twice in a process, and none that another process may be given
+// by Places. They are free as they are looked up; a start that finds one taken says so.
 func Places(n int) ([]Place, error) {
 	given.Lock()
 	defer given.Unlock()
 	if given.ports == nil {
 		given.ports = map[int]bool{}
+		claimPart()
 	}
 	part := (portMost - portFrom + 1) / portParts
-	from := portFrom + os.Getpid()%portParts*part
 	var all []Place
 	for tries := 0; len(all) < n; tries++ {
 		if tries == portTries {
 			return nil, fmt.Errorf("looking for ports: %d of %d were found in %d tries", len(all), n, tries)
 		}
-		port := from + rand.IntN(part)
+		port := given.from + 1 + rand.IntN(part-1)
 		if given.ports[port] && tries < portTries/2 { // later: most of the part was given out
 			continue
 		}
