--- a/internal/owner/check_test.go
+++ b/internal/owner/check_test.go
@@ -58,6 +58,10 @@
 // TestLongWalks goes on and on from the start, at random by a seed, with faults that do not run out: the invariants hold all along, and
 // ownership goes from one to another.
 func TestLongWalks(t *testing.T) {
+	if testing.Short() { // as under the race detector, where a walk takes ten times as long and has nobody to race with
+		seeds.Play(t, []uint64{1, 2, 10, 11}, longWalk)
+		return
+	}
 	seeds.Play(t, []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14}, longWalk)
 }
 
--- a/internal/world/fleet_test.go
+++ b/internal/world/fleet_test.go
@@ -15,6 +15,18 @@
 
 const start = time.Hour
 
+// sizes are the numbers of members that are played: the first of those named alone with -short, as under the race detector, which makes
+// virtual time ten times as dear and finds nothing in one goroutine; 2,000, and those beyond the second, with -large alone.
+func sizes(all ...int) []int {
+	switch {
+	case *large:
+		return append(all, 2000)
+	case testing.Short():
+		return all[:1]
+	}
+	return all[:2]
+}
+
 // trial is a fleet under watch: no place may be used by two for longer than it takes to hear of it.
 type trial struct {
 	t     *testing.T
@@ -127,11 +139,11 @@
 
 // TestFleetInVirtualTime plays what happens to fleets. The times are bounds of a plain run; -large adds 600 and 2,000 members.
 func TestFleetInVirtualTime(t *testing.T) {
-	plays := map[int][]uint64{20: {1, 2, 3}, 200: {1}}
-	if *large {
-		plays[600], plays[2000] = []uint64{1}, []uint64{1}
-	}
-	for n, list := range plays {
+	for _, n := range sizes(20, 200, 600) {
+		list := []uint64{1}
+		if n == 20 {
+			list = []uint64{1, 2, 3}
+		}
 		t.Run(fmt.Sprintf("members=%d", n), func(t *testing.T) {
 			seeds.Play(t, list, func(t *testing.T, seed uint64) { playFleet(t, seed, n) })
 		})
--- a/internal/world/owners_test.go
+++ b/internal/world/owners_test.go
@@ -13,11 +13,7 @@
 // TestOwnersInVirtualTime plays 20 and 200 members, 2,000 with -large, with ten duties: owners are killed and come back fifty times under 5 % of
 // loss. No two own a duty at a time, and each goes on elsewhere within the stated time.
 func TestOwnersInVirtualTime(t *testing.T) {
-	sizes := []int{20, 200}
-	if *large {
-		sizes = append(sizes, 2000)
-	}
-	for _, n := range sizes {
+	for _, n := range sizes(20, 200) {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			seeds.Play(t, []uint64{1}, func(t *testing.T, seed uint64) { playOwners(t, seed, n) })
 		})
--- a/internal/world/quotas_test.go
+++ b/internal/world/quotas_test.go
@@ -64,11 +64,7 @@
 // TestQuotasOverManyGateways plays 20 and 300 gateways, 2,000 with -large: what is let in beyond quotas, what is refused of those who
 // keep to theirs, and what it costs in messages do not grow with their number; nor do they get out of hand while nobody hears another.
 func TestQuotasOverManyGateways(t *testing.T) {
-	sizes := []int{20, 300}
-	if *large {
-		sizes = append(sizes, 2000)
-	}
-	for _, n := range sizes {
+	for _, n := range sizes(20, 300) {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			seeds.Play(t, []uint64{1}, func(t *testing.T, seed uint64) { quotasOverMany(t, seed, n) })
 		})
@@ -108,11 +104,7 @@
 // TestQuotasOverPowerLoss plays 20 and 300 gateways, 2,000 with -large, that all lose their power three times, two seconds apart: with what
 // their disks hold, floods get little more beyond their quotas than in peace; without, they get part of a burst at each loss.
 func TestQuotasOverPowerLoss(t *testing.T) {
-	sizes := []int{20, 300}
-	if *large {
-		sizes = append(sizes, 2000)
-	}
-	for _, n := range sizes {
+	for _, n := range sizes(20, 300) {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			seeds.Play(t, []uint64{1}, func(t *testing.T, seed uint64) {
 				over, calm := map[bool]float64{}, map[bool]float64{}
