Know of each other with an age that is never told younger than it is; rings between goroutines

The first of what the fleet holds in common (internal/commons, pure): a fact has one author, life and number; members learn by asking, and what is learned is as old as it was told and older by the time since the question was sent, so ages err to the old side over hops, delays, clocks that differ, sleeps and restarts. Who asks for a fact tells how old it may be. Who left can't come back by what others still tell.

--- /dev/null
+++ b/internal/commons/commons.go
@@ -0,0 +1,264 @@
+// Package commons is what the members of a fleet know of each other: facts, each by one author, with an age that is never told younger
+// than it is. It is pure: messages and time come in as values, messages go out. docs/design/limits.md states what holds and why.
+//
+// A fact is the newest that its author said of a topic: the higher life of the author wins, then the higher number. Nobody asks for a fact
+// without telling how old it may be. Members learn by asking: a question names what the asker has, an answer brings what it lacks, and
+// what is learned is as old as it was told, and older by all the time since the question was sent. So whatever is lost, late, doubled or in
+// another order, and however clocks differ, an age errs to the old side, over any number of hops.
+//
+// Times are a [time.Duration] on the member's own monotonic clock.
+package commons
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Config is what a table goes by.
+type Config struct {
+	Name    string // of this member
+	Life    uint64 // of its process: facts of a later one replace those of an earlier one
+	Drift   float64 // by which clocks run faster or slower than true time, as a share
+	Keep    time.Duration // a fact that is older is forgotten, and neither told nor taken
+	Authors int           // that are known of, at most; facts of more are not taken
+	Every   time.Duration // members ask so often, and say what is new of themselves
+	Fan     int           // that are asked each time
+	Message int           // bytes of a message, at most
+}
+
+// Default are figures for a local network.
+func Default() Config {
+	return Config{Drift: 0.001, Keep: 10 * time.Minute, Authors: 4096, Every: 500 * time.Millisecond, Fan: 2, Message: 1100}
+}
+
+const (
+	nameMost    = 128 // bytes of an author's name
+	valueMost   = 64  // bytes of a value
+	topicsMost  = 8   // of an author
+	askedMost   = 32  // questions whose answers are still taken; later ones make the oldest too old to date
+	answersMost = 8   // messages that answer one question
+	headRoom    = 64  // bytes of a message for all but its entries and names
+)
+
+// Validate reports the first value that can't be used.
+func (c *Config) Validate() error {
+	switch {
+	case c.Name == "" || len(c.Name) > nameMost:
+		return fmt.Errorf("commons: a name of %d bytes, want 1 to %d", len(c.Name), nameMost)
+	case c.Drift < 0 || c.Drift >= 0.5:
+		return fmt.Errorf("commons: clocks that differ by a share of %v", c.Drift)
+	case c.Keep <= 0 || c.Every <= 0 || c.Keep <= c.Every:
+		return fmt.Errorf("commons: facts that are kept for %v and asked for each %v", c.Keep, c.Every)
+	case c.Authors < 1 || c.Fan < 1:
+		return fmt.Errorf("commons: %d authors, and %d members that are asked, want 1 or more", c.Authors, c.Fan)
+	case c.Message < 2*nameMost+valueMost+2*headRoom:
+		return fmt.Errorf("commons: messages of %d bytes have no room for an entry", c.Message)
+	}
+	return nil
+}
+
+// Topic is what a fact is about, below 8.
+type Topic uint8
+
+// Fact is what an author said.
+type Fact struct {
+	Author string
+	Life   uint64
+	No     uint64 // rises with each fact of a life
+	Topic  Topic
+	Value  []byte
+}
+
+// ErrUnknown is told where nothing is known.
+var ErrUnknown = errors.New("commons: nothing is known of it")
+
+// StaleError is told where what is known is older than it may be.
+type StaleError struct{ Age, Most time.Duration }
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("commons: known as of %v ago, wanted of %v at most", e.Age.Round(time.Millisecond), e.Most)
+}
+
+// entry is a fact as it is kept: it was so old at a time, or less.
+type entry struct {
+	life, no uint64
+	value    []byte
+	age, at  time.Duration
+	has      bool
+}
+
+// author is all that is known of a member. One that left keeps its place here, so that it can't come back by what others still tell.
+type author struct {
+	name   string
+	topics [topicsMost]entry
+	gone   uint64 // facts of this life and of earlier ones are not taken ...
+	until  time.Duration
+}
+
+// Table is what one member knows. Make it with New. It is not safe for concurrent use.
+type Table struct {
+	cfg     Config
+	now     time.Duration
+	no      uint64
+	authors []*author // in the order of their names
+	cursor  string    // the next question begins at this name
+	nonce   uint64
+	asked   []asked // the newest last
+	counts  Counts
+}
+
+type asked struct {
+	nonce uint64
+	at    time.Duration
+}
+
+// Counts are what became of messages so far.
+type Counts struct {
+	Learned uint64 // facts that were new here
+	Undated uint64 // answers to no question that is remembered: they can't be dated, and nothing is taken of them
+	Spoilt  uint64 // messages that can't be read
+	Full    uint64 // facts that were not taken as too many authors are known
+	Refused uint64 // facts that were too old, or of who left
+}
+
+// New returns a table that knows nothing. The nonce begins the numbers of its questions: another one for each process.
+func New(cfg Config, nonce uint64) (*Table, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	return &Table{cfg: cfg, nonce: nonce}, nil
+}
+
+// Counts tells what became of messages.
+func (t *Table) Counts() Counts { return t.counts }
+
+func (t *Table) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(t.authors, name, func(a *author, n string) int { return strings.Compare(a.name, n) })
+}
+
+// later is an age after a while on this clock, which may run slow.
+func (t *Table) later(age, from, to time.Duration) time.Duration {
+	return age + time.Duration(math.Ceil(float64(to-from)/(1-t.cfg.Drift)))
+}
+
+func (t *Table) age(e *entry, now time.Duration) time.Duration { return t.later(e.age, e.at, now) }
+
+// Say says something of this member from now on.
+func (t *Table) Say(now time.Duration, topic Topic, value []byte) error {
+	if int(topic) >= topicsMost || len(value) > valueMost {
+		return fmt.Errorf("commons: topic %d, %d bytes; there are %d topics of %d bytes at most", topic, len(value), topicsMost, valueMost)
+	}
+	t.no++
+	if !t.take(now, Fact{Author: t.cfg.Name, Life: t.cfg.Life, No: t.no, Topic: topic, Value: value}, 0) {
+		return fmt.Errorf("commons: %d authors are known already", t.cfg.Authors)
+	}
+	return nil
+}
+
+// take takes a fact of that age, if it is news, or the same at a younger age.
+func (t *Table) take(now time.Duration, f Fact, age time.Duration) bool {
+	i, known := t.find(f.Author)
+	if !known {
+		if len(t.authors) >= t.cfg.Authors {
+			t.counts.Full++
+			return false
+		}
+		t.authors = slices.Insert(t.authors, i, &author{name: f.Author})
+	}
+	a := t.authors[i]
+	if age > t.cfg.Keep || a.gone > 0 && f.Life <= a.gone {
+		t.counts.Refused++
+		return false
+	}
+	e := &a.topics[f.Topic]
+	switch {
+	case e.has && (e.life > f.Life || e.life == f.Life && e.no > f.No):
+		return false
+	case e.has && e.life == f.Life && e.no == f.No:
+		if age < t.age(e, now) { // both are bounds: the lower one is the better
+			e.age, e.at = age, now
+		}
+		return false
+	}
+	*e = entry{life: f.Life, no: f.No, value: slices.Clone(f.Value), age: age, at: now, has: true}
+	return true
+}
+
+// Know is what an author said of a topic, and how old that is at most, if it is not older than it may be. The error is ErrUnknown or a
+// [*StaleError].
+func (t *Table) Know(now time.Duration, name string, topic Topic, atMost time.Duration) (Fact, time.Duration, error) {
+	i, ok := t.find(name)
+	if !ok || int(topic) >= topicsMost || !t.authors[i].topics[topic].has {
+		return Fact{}, 0, ErrUnknown
+	}
+	e := &t.authors[i].topics[topic]
+	age := t.age(e, now)
+	if age > t.cfg.Keep {
+		return Fact{}, 0, ErrUnknown
+	}
+	if age > atMost {
+		return Fact{}, age, &StaleError{age, atMost}
+	}
+	return Fact{name, e.life, e.no, topic, e.value}, age, nil
+}
+
+// Known are the authors of whom a fact on a topic is known, in the order of their names.
+func (t *Table) Known(now time.Duration, topic Topic) (names []string) {
+	for _, a := range t.authors {
+		if e := &a.topics[topic]; e.has && t.age(e, now) <= t.cfg.Keep {
+			names = append(names, a.name)
+		}
+	}
+	return names
+}
+
+// Forget drops all that is known of a member that left, and takes nothing more of that life or an earlier one. What others still tell of it
+// is too old to be taken by the time that this is forgotten in turn.
+func (t *Table) Forget(now time.Duration, name string, life uint64) {
+	i, known := t.find(name)
+	if !known {
+		if len(t.authors) >= t.cfg.Authors {
+			return // nothing of it is taken either
+		}
+		t.authors = slices.Insert(t.authors, i, &author{name: name})
+	}
+	a := t.authors[i]
+	a.gone = max(a.gone, life)
+	a.until = now + time.Duration(float64(t.cfg.Keep)*(1+t.cfg.Drift)/(1-t.cfg.Drift))
+	for k := range a.topics {
+		if a.topics[k].has && a.topics[k].life <= a.gone {
+			a.topics[k] = entry{}
+		}
+	}
+}
+
+// Slept takes that the clock stood still for so long while time went on, as it does on a machine that sleeps.
+func (t *Table) Slept(now, d time.Duration) {
+	for _, a := range t.authors {
+		for k := range a.topics {
+			a.topics[k].age += d
+		}
+	}
+	t.asked = nil // what is answered now was asked before
+}
+
+// sweep drops what is too old, and who is known of no more.
+func (t *Table) sweep(now time.Duration) {
+	t.authors = slices.DeleteFunc(t.authors, func(a *author) bool {
+		if a.gone > 0 && now > a.until {
+			a.gone = 0
+		}
+		has := a.gone > 0
+		for k := range a.topics {
+			if e := &a.topics[k]; e.has && t.age(e, now) > t.cfg.Keep {
+				*e = entry{}
+			}
+			has = has || a.topics[k].has
+		}
+		return !has
+	})
+}
--- /dev/null
+++ b/internal/ring/ring_test.go
@@ -0,0 +1,113 @@
+package ring
+
+import (
+	"runtime"
+	"sync"
+	"testing"
+)
+
+// TestFull: what is full drops the oldest or refuses, counts it, and goes on in order past its end.
+func TestFull(t *testing.T) {
+	latest, sure := NewLatest[int](3), NewSure[int](3)
+	for i := range 5 {
+		latest.Put(i)
+		if ok := sure.Put(i); ok != (i < 3) {
+			t.Errorf("put %d: %v", i, ok)
+		}
+	}
+	for want := range 3 {
+		if v, ok := latest.Take(); !ok || v != want+2 {
+			t.Errorf("the latest %d, %v; want %d", v, ok, want+2)
+		}
+		if v, ok := sure.Take(); !ok || v != want {
+			t.Errorf("sure of %d, %v; want %d", v, ok, want)
+		}
+	}
+	if _, ok := latest.Take(); ok {
+		t.Error("took one of none")
+	}
+	if c := latest.Counts(); c.Put != 5 || c.Dropped != 2 || c.Deepest != 3 {
+		t.Errorf("latest %+v", c)
+	}
+	if c := sure.Counts(); c.Put != 3 || c.Dropped != 2 || c.Deepest != 3 || c.Longest <= 0 {
+		t.Errorf("sure %+v", c)
+	}
+}
+
+// TestManyWriters: what many put in comes out once each, each writer's in its order, and the reader is told of the last one.
+func TestManyWriters(t *testing.T) {
+	const writers, each = 8, 5000
+	r := NewSure[[2]int](64)
+	var wg sync.WaitGroup
+	for w := range writers {
+		wg.Go(func() {
+			for i := 0; i < each; {
+				if r.Put([2]int{w, i}) {
+					i++
+				} else {
+					runtime.Gosched()
+				}
+			}
+		})
+	}
+	var next [writers]int
+	for got := 0; got < writers*each; {
+		<-r.Ready()
+		for v, ok := r.Take(); ok; v, ok = r.Take() {
+			if v[1] != next[v[0]] {
+				t.Fatalf("writer %d: %d, want %d", v[0], v[1], next[v[0]])
+			}
+			next[v[0]]++
+			got++
+		}
+	}
+	wg.Wait()
+}
+
+func BenchmarkRing(b *testing.B) {
+	r := NewLatest[[4]uint64](1024)
+	done := make(chan struct{})
+	go func() {
+		for taken := 0; taken < b.N; {
+			<-r.Ready()
+			for _, ok := r.Take(); ok; _, ok = r.Take() {
+				taken++
+			}
+			if c := r.Counts(); c.Put == uint64(b.N) && c.Put-c.Dropped <= uint64(taken) {
+				break
+			}
+		}
+		close(done)
+	}()
+	for i := range b.N {
+		r.Put([4]uint64{uint64(i)})
+	}
+	<-done
+}
+
+// BenchmarkChannel is the same by a channel whose writer drops the oldest by taking it.
+func BenchmarkChannel(b *testing.B) {
+	c := make(chan [4]uint64, 1024)
+	done, taken := make(chan struct{}), 0
+	go func() {
+		for range c {
+			taken++
+		}
+		close(done)
+	}()
+	for i := range b.N {
+		for sent := false; !sent; {
+			select {
+			case c <- [4]uint64{uint64(i)}:
+				sent = true
+			default:
+				select {
+				case <-c:
+				default:
+				}
+			}
+		}
+	}
+	close(c)
+	<-done
+}
