--- a/internal/h2/back_test.go
+++ b/internal/h2/back_test.go
@@ -125,6 +125,7 @@
 	if err := c.Framer.WriteRSTStream(open[0], http2.ErrCodeCancel); err != nil {
 		t.Fatal(err)
 	}
+	r.taken(c)
 	let()
 	for range 2 {
 		if a := r.read(c); a.Status != 200 || a.Stream == open[0] {
--- a/internal/h2/front_test.go
+++ b/internal/h2/front_test.go
@@ -303,6 +303,23 @@
 	}
 }
 
+// taken waits until the gateway has taken what was sent on a connection on which no answer is due.
+func (r *rig) taken(c *stand.H2Client) {
+	r.t.Helper()
+	if err := c.Framer.WritePing(false, [8]byte{1}); err != nil {
+		r.t.Fatal(err)
+	}
+	for {
+		f, err := c.Framer.ReadFrame()
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		if ping, ok := f.(*http2.PingFrame); ok && ping.IsAck() {
+			return
+		}
+	}
+}
+
 // A stream that is reset after its request was forwarded: nothing more comes on it, the quota is charged once, and the other
 // streams of the connection go on.
 func TestResetAfterForwarding(t *testing.T) {
@@ -314,9 +331,7 @@
 	if err := c.Framer.WriteRSTStream(gone, http2.ErrCodeCancel); err != nil {
 		t.Fatal(err)
 	}
-	if err := c.Framer.WritePing(false, [8]byte{}); err != nil { // behind it, so that it was taken
-		t.Fatal(err)
-	}
+	r.taken(c)
 	let()
 	a := r.read(c)
 	if a.Stream != stays || a.Status != 200 || a.Fields["ratelimit"] != `"network";r=16;t=2000` {
