Tell how stale a member's view is and what limits are worth: design, operators' page, demonstration

Also: a grant under a ceiling whose answer comes too late to be used was charged at the home for good, shut the customer out at the gateway and counted as a flood.

--- a/cmd/sloectl/demo.go
+++ b/cmd/sloectl/demo.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"sloepick/deploy/example"
+	"sloepick/internal/commons"
 	"sloepick/internal/gossip"
 	"sloepick/internal/stand"
 )
@@ -150,6 +151,9 @@
 	if keep {
 		d.leaveUp(ctx, out)
 	}
+	if d.fleet > 0 && !d.news(ctx, out) {
+		code = exitNo
+	}
 	for _, g := range d.gateways {
 		if err := g.Stop(); err != nil {
 			fmt.Fprintf(out, "BROKEN  a gateway's end: %v\n", err)
@@ -215,7 +219,7 @@
 
 // fleetFile writes a member's operators' file and returns its path.
 func (d *demonstration) fleetFile(i int) (string, error) {
-	text := fmt.Sprintf("fleet {\n    address = %q\n    seeds = [%q, %q]\n    places = %d\n    expect = %d\n    status = %q\n}\n\npower {\n    keep = \"power-%d\"\n}\n",
+	text := fmt.Sprintf("fleet {\n    address = %q\n    seeds = [%q, %q]\n    places = %d\n    expect = %d\n    status = %q\n}\n\ncommons { }\n\npower {\n    keep = \"power-%d\"\n}\n",
 		d.members[i].Listen, d.members[0].Listen, d.members[1].Listen, d.fleet, d.fleet, d.socket(i), i)
 	path := filepath.Join(d.dir, fmt.Sprintf("fleet-%d.sloe", i))
 	return path, os.WriteFile(path, []byte(text), 0o600)
@@ -418,6 +422,31 @@
 	return kept
 }
 
+const newsDelay = 250 * time.Millisecond // a message between two gateways takes no longer, also on a busy machine
+
+// news tells whether each member knows of all others, as of the stated time ago.
+func (d *demonstration) news(ctx context.Context, out io.Writer) bool {
+	conf := commons.Default()
+	bound, oldest, known, kept := conf.Stale(d.fleet, 0, newsDelay), time.Duration(0), 0, true
+	for i := range d.fleet {
+		r, err := gossip.ReadStatus(ctx, d.socket(i))
+		if err != nil || len(r.News) != d.fleet {
+			kept = false
+			continue
+		}
+		for _, row := range r.News {
+			known++
+			oldest = max(oldest, row.Age)
+		}
+	}
+	word := "kept"
+	if kept = kept && oldest <= bound; !kept {
+		word = "BROKEN"
+	}
+	fmt.Fprintf(out, "%-7s what members know of each other (%d of %d, %v old at most, bound %v)\n", word, known, d.fleet*d.fleet, oldest.Round(time.Millisecond), bound)
+	return kept
+}
+
 func (d *demonstration) leaveUp(ctx context.Context, out io.Writer) {
 	fmt.Fprintf(out, "left up until interrupted\n  discovery http://%s/v1/servers\n", d.site.Discovery.Addr())
 	for i, p := range d.places {
--- a/cmd/sloectl/main_test.go
+++ b/cmd/sloectl/main_test.go
@@ -190,10 +190,10 @@
 
 // The demonstration starts real gateways, breaks no rule, and leaves nothing behind.
 func TestDemo(t *testing.T) {
-	for _, fleet := range []string{"0", "3"} {
+	for fleet, held := range map[string]int{"0": 5, "3": 6} { // the five rules, and what members know of each other
 		t.Setenv("TMPDIR", t.TempDir())
 		code, out, errs := call("demo", "--plain", "--seconds", "10", "--seed", "3", "--fleet", fleet)
-		if code != 0 || errs != "" || strings.Count(out, "kept    ") != 5 || strings.Contains(out, "BROKEN") {
+		if code != 0 || errs != "" || strings.Count(out, "kept    ") != held || strings.Contains(out, "BROKEN") {
 			t.Errorf("fleet %s: code %d\n%s%s", fleet, code, out, errs)
 		}
 		if left, err := os.ReadDir(os.Getenv("TMPDIR")); err != nil || len(left) > 0 {
--- a/decide/quota/book.go
+++ b/decide/quota/book.go
@@ -127,8 +127,10 @@
 	From int
 	No   uint64
 	At   time.Duration
-	OK   bool
+	OK   bool // granted, and not settled yet
 	Out  bool // an attempt is out
+
+	Units float64
 }
 
 // Rate is a sum of units that fades with PartMemory; its value is in units a second.
--- a/internal/blocks/blocks_test.go
+++ b/internal/blocks/blocks_test.go
@@ -52,7 +52,7 @@
 	if err != nil || string(page) != Schema().Doc() {
 		t.Errorf("docs/operate/configuration-reference.md is not what sloectl doc prints (%v)", err)
 	}
-	for _, name := range []string{"configuration.md", "duties.md", "fleet.md", "http2.md", "power.md", "routes.md"} {
+	for _, name := range []string{"configuration.md", "duties.md", "fleet.md", "http2.md", "limits.md", "power.md", "routes.md"} {
 		page, err = os.ReadFile("../../docs/operate/" + name)
 		if err != nil {
 			t.Fatal(err)
