--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -223,11 +223,11 @@
 	r := newRig(t, long, b)
 	c := r.dial(t)
 	c.look("id-1")
-	x := b.request(t)
+	x := b.asked(t)
 	r.stop()
 	late := r.dial(t)
 	late.look("id-2")
-	y := b.request(t)
+	y := b.asked(t)
 	idle := r.dial(t)
 	if got := idle.read(); got != "EOF" {
 		t.Errorf("an idle connection got %q, want its end", got)
--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -22,7 +22,7 @@
 func serveOne(t *testing.T, c *caller, id string, b *backend) {
 	t.Helper()
 	c.look(id)
-	b.request(t).answer(t, served(id))
+	b.asked(t).answer(t, served(id))
 	c.want("$" + id)
 }
 
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -67,16 +67,6 @@
 	}
 }
 
-// request is the next request that comes to the server. A late machine may give a connection up before it is made, which the server sees end.
-func (b *backend) request(t *testing.T) exchange {
-	t.Helper()
-	x := b.next(t)
-	for x.args == nil {
-		x = b.next(t)
-	}
-	return x
-}
-
 func (x exchange) answer(t *testing.T, reply string) {
 	t.Helper()
 	if _, err := io.WriteString(x.conn, reply); err != nil {
