Tell when regions are quiet, by the clock that the fleet agrees on

Whether an instant is quiet is asked of the wall clock at that instant, so daylight saving has no rule of its own. The fleet's clock is what more than half of the members' clocks have in common (Marzullo), each known by the age of its news; a region is told to be quiet only over the whole doubt, and not at all without a clock. fleet status shows both. Nothing moves by it yet: it is the ground for partitions.

--- a/cmd/sloectl/fleet.go
+++ b/cmd/sloectl/fleet.go
@@ -115,6 +115,29 @@
 	printNews(out, r)
 }
 
+// quietWords tells when a region is quiet, by its own clock.
+func quietWords(row gossip.RegionRow) string {
+	const clock = "Mon 2 Jan 15:04 MST"
+	switch {
+	case row.Left > 0:
+		return fmt.Sprintf("quiet for %v more, to %s", row.Left.Round(time.Minute), row.To.Format(clock))
+	case row.From.IsZero():
+		return "not quiet for a week"
+	}
+	return fmt.Sprintf("quiet next from %s to %s", row.From.Format(clock), row.To.Format(clock))
+}
+
+// clockWords tells what the fleet's clock is.
+func clockWords(c *gossip.Clock) string {
+	switch {
+	case !c.OK:
+		return fmt.Sprintf("clock: no more than %d of %d members agree: there is none, and nothing is held to be quiet", c.Agree, c.Of)
+	case c.Off:
+		return fmt.Sprintf("clock: %d of %d members agree; this one is off by %v", c.Agree, c.Of, -c.Ahead.Round(time.Second/10))
+	}
+	return fmt.Sprintf("clock: %d of %d members agree, known up to %v", c.Agree, c.Of, c.Doubt.Round(time.Millisecond))
+}
+
 const boundOver = time.Minute // for which the status tells how far limits may be passed
 
 // printNews tells how stale this member's view is, by regions, and what that means for the limits of customers.
@@ -140,9 +163,24 @@
 	if oldest.Age < 0 {
 		return
 	}
+	calendar := map[string]gossip.RegionRow{}
+	for _, row := range r.Regions {
+		calendar[row.Name] = row
+		if _, known := regions[row.Name]; !known {
+			regions[row.Name] = region{}
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(regions)) {
-		fmt.Fprintf(out, "region %s: %d other members, last heard of %v ago\n", cmp.Or(name, "without a name"), regions[name].members, regions[name].heard.Round(time.Second/10))
+		line := fmt.Sprintf("region %s: %d other members", cmp.Or(name, "without a name"), regions[name].members)
+		if regions[name].members > 0 {
+			line += fmt.Sprintf(", last heard of %v ago", regions[name].heard.Round(time.Second/10))
+		}
+		if row, known := calendar[name]; known {
+			line += "; " + quietWords(row)
+		}
+		fmt.Fprintln(out, line)
 	}
+	fmt.Fprintln(out, clockWords(&r.Clock))
 	fmt.Fprintf(out, "limits: customers that %s keeps may be %.0f %% over their rate in a minute, and a fifth of a burst, if it was silent since its news (%v old)\n",
 		oldest.Name, 100*allowance.OverShare(oldest.Age, boundOver), oldest.Age.Round(time.Second/10))
 }
--- a/internal/blocks/fleet.go
+++ b/internal/blocks/fleet.go
@@ -57,7 +57,7 @@
 	if !s.Present() {
 		return nil
 	}
-	f := &gossip.Config{Address: s.Word("address"), Seeds: s.Words("seeds"), Generation: Generation(c), Table: fleet.Default(), News: Commons(c)}
+	f := &gossip.Config{Address: s.Word("address"), Seeds: s.Words("seeds"), Generation: Generation(c), Table: fleet.Default(), News: Commons(c), Regions: Regions(c)}
 	f.Table.Places, f.Table.Expect, f.Table.Hold = s.Count("places"), s.Count("expect"), s.Duration("hold")
 	f.Table.Lease = max(f.Table.Hold-noticeMost, f.Table.Hold/3)
 	for key, to := range map[string]*string{"keys": &f.KeyFile, "state": &f.StateFile, "status": &f.StatusSocket} {
--- a/internal/daemon/commons_test.go
+++ b/internal/daemon/commons_test.go
@@ -21,7 +21,7 @@
 	t.Parallel() // it waits more than it works
 	const n = 6
 	usual := links.Fault{Loss: 0.05, Dup: 0.02, Fast: 3 * time.Millisecond, Slow: 20 * time.Millisecond}
-	r := newFleet(t, stand.Clinic(), n, 1, "commons {\n every = 200ms\n}\n")
+	r := newFleet(t, stand.Clinic(), n, 1, "commons {\n every = 200ms\n}\nregion floor-3 {\n clock = \"Asia/Seoul\"\n quiet = [\"daily 00:00-24:00\"]\n}\n")
 	pulse := stand.NewPulse()
 	t.Cleanup(pulse.Close)
 	r.Mesh.Set(usual, nil, nil)
@@ -44,6 +44,9 @@
 					continue
 				}
 				late := pulse.Within(asked.Add(-stale), time.Now())
+				if calm && (!rep.Clock.OK || rep.Clock.Agree != n || len(rep.Regions) != 1 || rep.Regions[0].Left < time.Hour) {
+					t.Fatalf("%s: %s has the clock %+v and the regions %+v", what, rep.Name, rep.Clock, rep.Regions)
+				}
 				if calm && len(rep.News) != n {
 					t.Fatalf("%s: %s knows %d members of %d: %+v", what, rep.Name, len(rep.News), n, rep.News)
 				}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -298,6 +298,7 @@
 		if err := r.member.Reload(blocks.Generation(c), c.One("fleet").Count("expect")); err != nil {
 			return gateway.Reload{}, nil, err
 		}
+		r.member.Regions(blocks.Regions(c))
 	}
 	for _, take := range takes {
 		take()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -22,6 +22,7 @@
 	"sloepick/internal/fleet"
 	"sloepick/internal/gateway"
 	"sloepick/internal/owner"
+	"sloepick/internal/quiet"
 	"sloepick/internal/recovery"
 )
 
@@ -63,6 +64,7 @@
 	Owner        owner.Config         // work on behalf of the fleet; no duties: there is none
 	News         *commons.Config      // what members know of each other; nil: nothing beyond who is there
 	Zone         string               // of this member, its region
+	Regions      map[string]*quiet.Hours
 
 	version int // that it tells; 0: metaVersion
 }
@@ -96,6 +98,7 @@
 	lost     atomic.Uint64
 	syncing  atomic.Bool
 	leaving  atomic.Bool
+	regions  atomic.Pointer[map[string]*quiet.Hours] // with a calendar, by name
 	yielded  chan fleet.Member
 	start    time.Time
 	memory   atomic.Pointer[Memory] // nil: none
@@ -123,6 +126,8 @@
 	Voters   owner.Electorate  // who votes on duties, as far as this member knows
 	News     []NewsRow         // what is known of members, in the order of their names; none where it is off
 	Heard    NewsCounts        // and how it came
+	Clock    Clock             // the fleet's, where news is on
+	Regions  []RegionRow       // those with a calendar, in the order of their names
 	Wall     int64             // when this report was made, ms since 1970
 	Drops    map[string]uint64 // those of other members, by name, as they told with their last whole state
 }
@@ -154,6 +159,7 @@
 			return nil, err
 		}
 	}
+	e.Regions(cfg.Regions)
 	if cfg.News != nil {
 		if e.news, err = newNews(e, *cfg.News); err != nil {
 			return nil, err
@@ -308,7 +314,7 @@
 	now := at.Sub(e.start)
 	e.until.Store(int64(now + validFor))
 	r := &Report{Name: e.cfg.Name, Standing: e.table.Standing(), Rows: e.table.Rows(), Now: now, Wall: at.UnixMilli(), Lost: e.lost.Load()}
-	r.News, r.Heard = e.news.report(now)
+	e.news.report(r)
 	if m := e.memory.Load(); m != nil {
 		r.Phase = m.Phase()
 	}
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -55,6 +55,7 @@
 	sent  uint64
 	bytes uint64
 	wall  time.Time // of the last turn
+	days  calendar
 }
 
 // newsIn is a message of the member in a place, or that a member left.
@@ -69,6 +70,8 @@
 	at     time.Duration
 	rows   []NewsRow
 	counts NewsCounts
+	clock  Clock
+	region []RegionRow
 }
 
 func newNews(e *Engine, cfg commons.Config) (*news, error) {
@@ -181,7 +184,8 @@
 
 // show keeps what is known for the report.
 func (n *news) show() {
-	now := n.now()
+	at := time.Now()
+	now := at.Sub(n.e.start)
 	s := &newsShown{at: now, counts: NewsCounts{Ring: n.in.Counts(), Table: n.table.Counts(), Sent: n.sent, Bytes: n.bytes}}
 	for _, name := range n.table.Known(now, topicSelf) {
 		f, age, err := n.table.Know(now, name, topicSelf, n.cfg.Keep)
@@ -191,21 +195,23 @@
 		}
 		s.rows = append(s.rows, NewsRow{Name: name, Zone: about.Zone, Age: age, Wall: about.Wall})
 	}
+	s.clock = clockOf(s.rows, n.cfg.Name, at)
+	s.region = n.days.rows(*n.e.regions.Load(), s.clock, at)
 	n.shown.Store(s)
 }
 
-// report is what is known, as of a time. It may be called from any goroutine.
-func (n *news) report(now time.Duration) (rows []NewsRow, counts NewsCounts) {
+// report adds what is known to a report, as of its time. It may be called from any goroutine.
+func (n *news) report(r *Report) {
 	if n == nil {
-		return nil, counts
+		return
 	}
 	s := n.shown.Load()
 	if s == nil {
-		return nil, counts
+		return
 	}
 	for _, row := range s.rows {
-		row.Age = n.cfg.Later(row.Age, s.at, now)
-		rows = append(rows, row)
+		row.Age = n.cfg.Later(row.Age, s.at, r.Now)
+		r.News = append(r.News, row)
 	}
-	return rows, s.counts
+	r.Heard, r.Clock, r.Regions = s.counts, s.clock, s.region
 }
--- /dev/null
+++ b/internal/gossip/regions_test.go
@@ -0,0 +1,71 @@
+package gossip
+
+import (
+	"testing"
+	"time"
+
+	"sloepick/internal/quiet"
+)
+
+// TestClockOfMembers: a member whose clock is an hour or a year off has no say in the fleet's clock; if it is this one it says so, and goes by the
+// others'; where no more than half agree nothing is quiet.
+func TestClockOfMembers(t *testing.T) {
+	at := time.Date(2026, 12, 2, 13, 30, 0, 0, time.UTC)
+	span, err := quiet.ParseSpan("daily 13:00-14:00")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hours := map[string]*quiet.Hours{"hall-a": {Zone: time.UTC, Week: []quiet.Span{span}}}
+	row := func(name string, ahead time.Duration) NewsRow {
+		return NewsRow{Name: name, Age: time.Second, Wall: at.Add(ahead - time.Second/2).UnixMilli()}
+	}
+	for _, tc := range []struct {
+		name       string
+		others     []NewsRow
+		ok, off    bool
+		left, most time.Duration
+	}{
+		{"all agree", []NewsRow{row("b", 0), row("c", 0)}, true, false, 28 * time.Minute, 30 * time.Minute},
+		{"one is a year ahead", []NewsRow{row("b", 0), row("c", 8760*time.Hour)}, true, false, 28 * time.Minute, 30 * time.Minute},
+		{"this one is 20 minutes behind", []NewsRow{row("b", 20*time.Minute), row("c", 20*time.Minute)}, true, true, 8 * time.Minute, 10 * time.Minute},
+		{"this one is an hour behind", []NewsRow{row("b", time.Hour), row("c", time.Hour)}, true, true, 0, 0},
+		{"nobody agrees", []NewsRow{row("b", time.Hour), row("c", 2*time.Hour)}, false, false, 0, 0},
+	} {
+		c := clockOf(append(tc.others, row("a", 0)), "a", at)
+		var days calendar
+		rows := days.rows(hours, c, at)
+		if c.OK != tc.ok || c.Off != tc.off || c.Of != 3 || len(rows) != len(hours) && tc.ok {
+			t.Errorf("%s: %+v, %+v", tc.name, c, rows)
+		}
+		for _, row := range rows {
+			if row.Left < tc.left || row.Left > tc.most {
+				t.Errorf("%s: quiet for %v more, want %v to %v", tc.name, row.Left, tc.left, tc.most)
+			}
+		}
+	}
+}
+
+// TestCalendarChanges: another calendar holds from the next look on, and a window that is over gives way to the next one.
+func TestCalendarChanges(t *testing.T) {
+	at := time.Date(2026, 12, 2, 13, 30, 0, 0, time.UTC)
+	calendarOf := func(text string) map[string]*quiet.Hours {
+		span, err := quiet.ParseSpan(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return map[string]*quiet.Hours{"hall-a": {Zone: time.UTC, Week: []quiet.Span{span}}}
+	}
+	var days calendar
+	one, clock := calendarOf("daily 13:00-14:00"), Clock{OK: true}
+	for _, tc := range []struct {
+		hours map[string]*quiet.Hours
+		after time.Duration
+		from  int // hour
+		day   int
+	}{{one, 0, 13, 2}, {one, 29 * time.Minute, 13, 2}, {one, 31 * time.Minute, 13, 3}, {calendarOf("daily 20:00-21:00"), 32 * time.Minute, 20, 2}, {one, 0, 13, 2}} {
+		rows := days.rows(tc.hours, clock, at.Add(tc.after))
+		if from := rows[0].From; from.Hour() != tc.from && from.Day() == tc.day && rows[0].Left == 0 || rows[0].To.Sub(at.Add(tc.after)) <= 0 || rows[0].To.Day() != tc.day {
+			t.Errorf("%v later: %+v", tc.after, rows[0])
+		}
+	}
+}
--- /dev/null
+++ b/internal/quiet/hours.go
@@ -0,0 +1,187 @@
+// Package quiet tells when a region is quiet: its calendar of quiet hours, by its own clock, and the clock that a fleet agrees on. What moves
+// state between regions asks it first. It is pure: the time comes in as a value, and time zones were loaded before.
+//
+// A region is quiet at an instant if its wall clock stands in one of its spans then. So where clocks are set forward a span may be
+// shorter that night or not come at all, and where they are set back it may be longer or come twice: what counts is what the clock on
+// the wall says, as for the people there.
+package quiet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Minutes of a day.
+const dayLong = 24 * 60
+
+// Date is a day by a region's calendar.
+type Date struct {
+	Year  int
+	Month time.Month
+	Day   int
+}
+
+// Span is a time of some days, in minutes since midnight. To may be up to 24:00; one at or before From is of the next day.
+type Span struct {
+	Days     [7]bool // by time.Weekday: those on which it begins
+	From, To int
+}
+
+// Hours is a region's calendar. Of a day in Never no minute is quiet, also of a span that began the evening before.
+type Hours struct {
+	Zone  *time.Location
+	Week  []Span
+	Never map[Date]bool
+	Also  map[Date][]Span // spans that begin on single days; their Days don't count
+}
+
+func dateOf(t time.Time) Date {
+	y, m, d := t.Date()
+	return Date{y, m, d}
+}
+
+// next is the date behind, or before by -1.
+func (d Date) next(days int) Date {
+	return dateOf(time.Date(d.Year, d.Month, d.Day+days, 12, 0, 0, 0, time.UTC))
+}
+
+func (d Date) weekday() time.Weekday {
+	return time.Date(d.Year, d.Month, d.Day, 12, 0, 0, 0, time.UTC).Weekday()
+}
+
+// Quiet reports whether the region is quiet at an instant.
+func (h *Hours) Quiet(t time.Time) bool {
+	local := t.In(h.Zone)
+	today := dateOf(local)
+	if h.Never[today] {
+		return false
+	}
+	minute := local.Hour()*60 + local.Minute()
+	yesterday := today.next(-1)
+	return h.in(today, minute) || !h.Never[yesterday] && h.in(yesterday, minute+dayLong)
+}
+
+// in reports whether a span that begins on a day holds at a minute since its midnight.
+func (h *Hours) in(day Date, minute int) bool {
+	at := func(s Span) bool {
+		to := s.To
+		if to <= s.From {
+			to += dayLong
+		}
+		return s.From <= minute && minute < to
+	}
+	weekday := day.weekday()
+	for _, s := range h.Week {
+		if s.Days[weekday] && at(s) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(h.Also[day], at)
+}
+
+// Window is a time in which one region, or several at once, are quiet.
+type Window struct{ From, To time.Time }
+
+// Next is the window that an instant lies in, from that instant on, or the first one behind it that begins within a time; false: there is
+// none. An end that lies beyond is told as the end of that time.
+func Next(from time.Time, within time.Duration, of ...*Hours) (Window, bool) {
+	quiet := func(t time.Time) bool {
+		return !slices.ContainsFunc(of, func(h *Hours) bool { return !h.Quiet(t) })
+	}
+	// Spans begin and end, and zones change, on whole minutes of true time.
+	at, last := from, from.Add(within)
+	for !quiet(at) {
+		if at = at.Truncate(time.Minute).Add(time.Minute); at.After(last) {
+			return Window{}, false
+		}
+	}
+	w := Window{From: at}
+	for at = at.Truncate(time.Minute).Add(time.Minute); at.Before(last) && quiet(at); at = at.Add(time.Minute) {
+	}
+	w.To = at
+	if at.After(last) {
+		w.To = last
+	}
+	return w, true
+}
+
+// Left is for how long regions go on to be quiet together at an instant that is known up to a doubt; 0: they may not be quiet. It looks no
+// further than a day.
+func Left(t time.Time, doubt time.Duration, of ...*Hours) time.Duration {
+	early, ok := Next(t.Add(-doubt), 24*time.Hour, of...)
+	if !ok || early.From.After(t.Add(-doubt)) {
+		return 0
+	}
+	return max(0, early.To.Sub(t.Add(doubt)))
+}
+
+// ParseSpan reads a span such as "mon-fri 22:00-05:00", "sat sun 20:00-08:00" or "daily 01:00-05:00".
+func ParseSpan(text string) (s Span, err error) {
+	fields := strings.Fields(text)
+	if len(fields) < 2 {
+		return s, fmt.Errorf("%q is no span of days and times, such as \"mon-fri 22:00-05:00\"", text)
+	}
+	for _, days := range fields[:len(fields)-1] {
+		if days == "daily" {
+			s.Days = [7]bool{true, true, true, true, true, true, true}
+			continue
+		}
+		first, last, several := strings.Cut(days, "-")
+		a, okA := weekdays[first]
+		b, okB := weekdays[last]
+		if !several {
+			b, okB = a, okA
+		}
+		if !okA || !okB {
+			return s, fmt.Errorf("%q: %q names no days; want mon to sun, a range of them, or daily", text, days)
+		}
+		for d := a; ; d = (d + 1) % 7 {
+			if s.Days[d] = true; d == b {
+				break
+			}
+		}
+	}
+	s.From, s.To, err = times(fields[len(fields)-1])
+	return s, err
+}
+
+// ParseDay reads a day such as "2026-09-24".
+func ParseDay(text string) (Date, error) {
+	t, err := time.Parse(time.DateOnly, text)
+	if err != nil {
+		return Date{}, fmt.Errorf("%q is no day, such as \"2026-09-24\"", text)
+	}
+	return dateOf(t), nil
+}
+
+// ParseExtra reads a day and a time on it, such as "2026-12-25 00:00-24:00".
+func ParseExtra(text string) (d Date, s Span, err error) {
+	day, clock, _ := strings.Cut(text, " ")
+	if d, err = ParseDay(day); err == nil {
+		s.From, s.To, err = times(clock)
+	}
+	return d, s, err
+}
+
+var weekdays = map[string]time.Weekday{"sun": 0, "mon": 1, "tue": 2, "wed": 3, "thu": 4, "fri": 5, "sat": 6}
+
+// times reads "22:00-05:00". 24:00 is the end of a day.
+func times(text string) (from, to int, err error) {
+	a, b, _ := strings.Cut(text, "-")
+	from, okA := clock(a)
+	to, okB := clock(b)
+	if !okA || !okB || from == dayLong || from == to {
+		return 0, 0, fmt.Errorf("%q is no time of a day, such as \"22:00-05:00\"", text)
+	}
+	return from, to, nil
+}
+
+func clock(text string) (minutes int, ok bool) {
+	if text == "24:00" {
+		return dayLong, true
+	}
+	t, err := time.Parse("15:04", text)
+	return t.Hour()*60 + t.Minute(), err == nil && len(text) == len("22:00")
+}
--- /dev/null
+++ b/internal/quiet/quiet_test.go
@@ -0,0 +1,187 @@
+package quiet
+
+import (
+	"strings"
+	"testing"
+	"time"
+	_ "time/tzdata" // the machine may have none
+
+	"sloepick/internal/stand/seeds"
+)
+
+func zone(t *testing.T, name string) *time.Location {
+	t.Helper()
+	z, err := time.LoadLocation(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return z
+}
+
+func hours(t *testing.T, where string, spans ...string) *Hours {
+	t.Helper()
+	h := &Hours{Zone: zone(t, where), Never: map[Date]bool{}, Also: map[Date][]Span{}}
+	for _, text := range spans {
+		s, err := ParseSpan(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.Week = append(h.Week, s)
+	}
+	return h
+}
+
+func at(t *testing.T, h *Hours, text string) time.Time {
+	t.Helper()
+	layout := "2006-01-02 15:04"
+	if strings.HasSuffix(text, "Z") {
+		layout = "2006-01-02T15:04Z07:00"
+	}
+	x, err := time.ParseInLocation(layout, text, h.Zone)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// TestNights holds the windows that come about in nights of all kinds: over midnight, on days without any, on days added, and where clocks are
+// set forward and back.
+func TestNights(t *testing.T) {
+	seoul := hours(t, "Asia/Seoul", "mon-fri 22:00-05:00", "sat sun 20:00-24:00")
+	for _, day := range []string{"2026-09-24", "2026-02-16"} { // the days before Chuseok and Seollal
+		d, err := ParseDay(day)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seoul.Never[d] = true
+	}
+	d, s, err := ParseExtra("2026-12-25 10:00-12:00")
+	if err != nil {
+		t.Fatal(err)
+	}
+	seoul.Also[d] = []Span{s}
+	berlin := hours(t, "Europe/Berlin", "daily 01:30-02:30")
+	york := hours(t, "America/New_York", "daily 01:00-04:00")
+	for _, tc := range []struct {
+		name       string
+		h          *Hours
+		from       string
+		begins, to string // in UTC
+	}{
+		{"an evening", seoul, "2026-12-02 12:00", "2026-12-02T13:00Z", "2026-12-02T20:00Z"},
+		{"in the middle of it", seoul, "2026-12-03 01:00", "2026-12-02T16:00Z", "2026-12-02T20:00Z"},
+		{"friday's goes on on saturday, whose own begins in the evening", seoul, "2026-12-05 05:00", "2026-12-05T11:00Z", "2026-12-05T15:00Z"},
+		{"the evening before a day without any ends at midnight", seoul, "2026-09-23 21:00", "2026-09-23T13:00Z", "2026-09-23T15:00Z"},
+		{"none on that day, and none that would have begun on it", seoul, "2026-09-24 00:00", "2026-09-25T13:00Z", "2026-09-25T20:00Z"},
+		{"a day added", seoul, "2026-12-25 08:00", "2026-12-25T01:00Z", "2026-12-25T03:00Z"},
+		{"half of it does not exist that night", berlin, "2026-03-29 00:00", "2026-03-29T00:30Z", "2026-03-29T01:00Z"},
+		{"the clock is set back in it: it comes twice", berlin, "2026-10-25 00:00", "2026-10-24T23:30Z", "2026-10-25T00:30Z"},
+		{"the second time", berlin, "2026-10-25T00:45Z", "2026-10-25T01:00Z", "2026-10-25T01:30Z"},
+		{"an hour shorter", york, "2026-03-08 00:00", "2026-03-08T06:00Z", "2026-03-08T08:00Z"},
+		{"an hour longer", york, "2026-11-01 00:00", "2026-11-01T05:00Z", "2026-11-01T09:00Z"},
+	} {
+		from := at(t, tc.h, tc.from)
+		w, ok := Next(from, 7*24*time.Hour, tc.h)
+		if got := w.From.UTC().Format("2006-01-02T15:04Z"); !ok || got != tc.begins || w.To.UTC().Format("2006-01-02T15:04Z") != tc.to {
+			t.Errorf("%s, from %v: %v to %v (%v), want %s to %s", tc.name, from, w.From.UTC(), w.To.UTC(), ok, tc.begins, tc.to)
+		}
+	}
+}
+
+// TestYearOfNights walks through a year in five zones, minute by minute: windows follow each other without overlap, what they say is what the
+// clock on the wall says at each minute, and what is left is never more than there is.
+func TestYearOfNights(t *testing.T) {
+	seeds.Play(t, []uint64{1}, func(t *testing.T, seed uint64) {
+		rnd := seeds.Rand(seed)
+		for _, where := range []string{"Asia/Seoul", "Asia/Muscat", "Europe/Berlin", "America/New_York", "Australia/Lord_Howe"} { // the last moves by half an hour
+			h := hours(t, where, "mon-thu 22:30-05:15", "fri 23:00-02:00", "sun 01:00-03:00", "sun 02:30-04:00")
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			end, windows, long := now.AddDate(1, 0, 0), 0, 0.0
+			for now.Before(end) {
+				w, ok := Next(now, 10*24*time.Hour, h)
+				if !ok {
+					t.Fatalf("%s: no window after %v", where, now)
+				}
+				for x := now; x.Before(w.To.Add(time.Minute)); x = x.Add(time.Minute) {
+					if in := !x.Before(w.From) && x.Before(w.To); h.Quiet(x) != in {
+						t.Fatalf("%s: %v is quiet: %v; the window is %v to %v", where, x.In(h.Zone), !in, w.From.In(h.Zone), w.To.In(h.Zone))
+					}
+				}
+				doubt := time.Duration(rnd.IntN(300)) * time.Second
+				x := w.From.Add(time.Duration(rnd.Int64N(int64(w.To.Sub(w.From)))))
+				if left := Left(x, doubt, h); left > max(0, w.To.Sub(x)-doubt) || left > 0 && x.Add(-doubt).Before(w.From) {
+					t.Fatalf("%s: at %v, known up to %v, %v are left of %v to %v", where, x, doubt, left, w.From, w.To)
+				}
+				windows++
+				long += w.To.Sub(w.From).Hours()
+				now = w.To
+			}
+			t.Logf("%s: %d windows, %.1f hours", where, windows, long)
+			if windows < 300 || windows > 320 {
+				t.Errorf("%s: %d windows in a year of six nights a week", where, windows)
+			}
+		}
+	})
+}
+
+// TestRegionsThatNeverMeet: two regions are quiet together only while both are; of two whose nights don't meet there is no window.
+func TestRegionsThatNeverMeet(t *testing.T) {
+	seoul, berlin := hours(t, "Asia/Seoul", "daily 02:00-09:00"), hours(t, "Europe/Berlin", "daily 00:00-06:00")
+	from := at(t, seoul, "2026-12-02 00:00")
+	w, ok := Next(from, 48*time.Hour, seoul, berlin)
+	if !ok || w.From.UTC().Hour() != 23 || w.To.Sub(w.From) != time.Hour { // 8:00 in Seoul, midnight in Berlin
+		t.Errorf("%v to %v, %v", w.From.UTC(), w.To.UTC(), ok)
+	}
+	if w, ok := Next(from, 30*24*time.Hour, seoul, hours(t, "Europe/Berlin", "daily 01:00-06:00")); ok {
+		t.Errorf("they meet from %v to %v", w.From, w.To)
+	}
+}
+
+// TestSpansAreRead: what is no span, day or time is told with what is wrong.
+func TestSpansAreRead(t *testing.T) {
+	for text, want := range map[string]string{"": "no span", "22:00-05:00": "no span", "mon 22-05": "no time", "mon 25:00-05:00": "no time", "mon 24:00-05:00": "no time",
+		"mon 05:00-05:00": "no time", "moon 22:00-05:00": "no days", "mon-someday 22:00-05:00": "no days", "mon 22:60-05:00": "no time", "mon +1:00-05:00": "no time"} {
+		if _, err := ParseSpan(text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+	for _, text := range []string{"2026-13-01", "2026-02-30", "tomorrow"} {
+		if _, err := ParseDay(text); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+	if s, err := ParseSpan("sat-mon 00:00-24:00"); err != nil || s.Days != [7]bool{0: true, 1: true, 6: true} || s.To != dayLong {
+		t.Errorf("%+v, %v", s, err)
+	}
+}
+
+// TestClocksAgree: the fleet's clock lies where most agree; one that is an hour or a year off moves nothing, also if it is this member's own, and
+// where no more than half agree there is none.
+func TestClocksAgree(t *testing.T) {
+	ms := func(least, most int) Reading {
+		return Reading{time.Duration(least) * time.Millisecond, time.Duration(most) * time.Millisecond}
+	}
+	own := Reading{}
+	for _, tc := range []struct {
+		name string
+		of   []Reading
+		want Reading
+		n    int
+		ok   bool
+	}{
+		{"alone", []Reading{own}, own, 1, true},
+		{"all agree", []Reading{own, ms(-20, 30), ms(-5, 80)}, own, 3, true},
+		{"one is a year off", []Reading{own, ms(-20, 30), {365 * 24 * time.Hour, 366 * 24 * time.Hour}}, own, 2, true},
+		{"this one is an hour off", []Reading{own, ms(3600000, 3600500), ms(3600200, 3600900), ms(3599000, 3600300)}, ms(3600200, 3600300), 3, true},
+		{"two and two", []Reading{own, ms(-5, 5), ms(9000, 9010), ms(9005, 9020)}, own, 2, false},
+		{"they touch", []Reading{own, ms(0, 10)}, own, 2, true},
+	} {
+		if r, n, ok := Agree(tc.of); r != tc.want || n != tc.n || ok != tc.ok {
+			t.Errorf("%s: %v, %d, %v; want %v, %d, %v", tc.name, r, n, ok, tc.want, tc.n, tc.ok)
+		}
+	}
+	now := time.Unix(1000, 0)
+	if r := Told(now.Add(-2*time.Second), now, 3*time.Second); r != (Reading{-2 * time.Second, time.Second}) {
+		t.Errorf("a clock that told 2 s ago, 3 s at most: %v", r)
+	}
+}
