--- a/decide/admit.go
+++ b/decide/admit.go
@@ -133,6 +133,6 @@
 	} else {
 		c.Wait *= waitShrink
 	}
-	c.Grants = append(c.Grants, quota.Grant{From: from, No: no, At: g.now, OK: ok, Out: ok && c.Plan.MaxOpen > 0, Units: units})
+	c.Grants = append(c.Grants, quota.Grant{From: from, No: no, At: g.now, OK: ok, Out: ok && c.Plan.MaxOpen > 0})
 	return ok, c.Wait
 }
--- a/decide/ask.go
+++ b/decide/ask.go
@@ -133,20 +133,20 @@
 	if r == nil || r.cust.Key != w.Key {
 		return
 	}
-	granted, whole := w.V[0] > 0, w.V[1]
+	ok, whole := w.V[0] > 0, w.V[1]
 	delete(g.asks, w.No)
 	if r.asked == 1 {
 		g.trip += time.Duration(0.1 * float64(g.now-r.askedAt-g.trip))
 	}
 	r.asking = false
 	c := r.cust
-	ok := granted && (c.Plan.CeilingRate == 0 || g.now-r.askedAt <= grantUse)
+	ok = ok && (c.Plan.CeilingRate == 0 || g.now-r.askedAt <= grantUse)
 	c.AsksAll, c.ToldAt = w.V[2], g.now
-	g.quota.Watch(c, granted)
+	g.quota.Watch(c, ok)
 	g.quota.Leak(c)
 	c.Level = c.Part * whole
-	if granted {
-		r.granted = from // also if it came too late: then its end gives the units back
+	if ok {
+		r.granted = from
 	} else {
 		leaks := min(1, (whole+r.units-c.Plan.Burst)/max(c.Plan.Rate, 1e-9))
 		c.Shut = g.now + time.Duration(max(w.V[3], leaks)*float64(time.Second))
--- a/decide/quota/book.go
+++ b/decide/quota/book.go
@@ -127,10 +127,8 @@
 	From int
 	No   uint64
 	At   time.Duration
-	OK   bool // granted, and not settled yet
+	OK   bool
 	Out  bool // an attempt is out
-
-	Units float64
 }
 
 // Rate is a sum of units that fades with PartMemory; its value is in units a second.
--- a/decide/quota/homes.go
+++ b/decide/quota/homes.go
@@ -94,17 +94,13 @@
 	c.twinGiven, c.twinKnown = given, true
 }
 
-// Settle takes at a home how many units more than granted a request was, and that its attempt is over; once, as words may be doubled. If it
-// was none at all nothing was sent, and the ceiling has its units back.
+// Settle takes at a home how many units more than granted a request was, and that its attempt is over.
 func (b *Book) Settle(c *Customer, from int, no uint64, more float64) {
 	for i := range c.Grants {
 		if d := &c.Grants[i]; d.From == from && d.No == no && d.OK {
 			b.Leak(c)
 			c.Whole = max(0, c.Whole+more)
-			if more <= -d.Units {
-				c.Store += d.Units
-			}
-			d.OK, d.Out = false, false
+			d.Out = false
 		}
 	}
 }
