--- /dev/null
+++ b/decide/peers_test.go
@@ -0,0 +1,309 @@
+package decide
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"sloepick/decide/words"
+)
+
+func entry(key string, plan, used, asked, level int) words.Entry {
+	return entryOpen(key, plan, used, asked, 0, level)
+}
+
+func entryOpen(key string, plan, used, asked, open, level int) words.Entry {
+	return words.Entry{Key: words.Key(key), Plan: plan, Used: float64(used), Asked: float64(asked), Open: open, Level: float64(level) / 30}
+}
+
+func message(epoch, seq int, entries ...words.Entry) string {
+	return words.Totals{Epoch: epoch, Seq: seq, Entries: entries}.Text()
+}
+
+func TestPartFollowsDemand(t *testing.T) {
+	r := newRig(t, nil)
+	r.ask("get", "wide", "x", 100)
+	c := r.g.quota.Find(words.Key("x"))
+	r.do(PeerMessage{From: 1, Text: message(1, 1, entry("x", 0, 0, 0, 0))})
+	r.do(PeerMessage{From: 2, Text: message(1, 1)})
+	r.do(PeerMessage{From: 1, Text: message(1, 2, entry("x", 0, 0, 900, 0))})
+	r.g.quota.Leak(c)
+	if math.Abs(c.Part-1.0/3) > 1e-9 {
+		t.Errorf("part is %v with a tenth of the demand, want the even floor", c.Part)
+	}
+	r.ask("get", "wide", "x", 2700)
+	r.g.quota.Leak(c)
+	if c.Part < 0.65 || c.Part > 0.8 {
+		t.Errorf("part is %v with three quarters of the demand, want about 0.73", c.Part)
+	}
+}
+
+// TestSilentPeersLastWordStands: of a gateway that fell silent nobody knows whether it died or is cut off. The part
+// grows only by the traffic that comes here from then on, and is never over what both asked for before.
+func TestSilentPeersLastWordStands(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(PeerMessage{From: 1, Text: message(1, 1, entry("x", 0, 0, 0, 0))})
+	r.do(PeerMessage{From: 2, Text: message(1, 1, entry("x", 0, 0, 0, 0))})
+	c := r.g.quota.Find(words.Key("x"))
+	for n := range 100 { // all three ask alike; the last second is silent
+		r.ask("get", "wide", "x", 20)
+		if n < 75 {
+			for from := 1; from < 3; from++ {
+				r.do(PeerMessage{From: from, Text: message(1, 2+n, entry("x", 0, 0, 20*(n+1), 0))})
+			}
+		}
+		r.now += 50 * ms
+	}
+	r.g.quota.Leak(c)
+	if c.Part < 1.0/3 || c.Part > 0.36 {
+		t.Errorf("part is %.3f while the others are silent and the traffic is as before, want a third", c.Part)
+	}
+	for range 100 { // they died: all of it comes here
+		r.ask("get", "wide", "x", 60)
+		r.now += 50 * ms
+	}
+	r.g.quota.Leak(c)
+	if c.Part < 0.5 || c.Part > 0.65 {
+		t.Errorf("part is %.3f with three times the traffic, want three fifths", c.Part)
+	}
+}
+
+// TestGatewayThatLeavesIsNotCounted: a stopping gateway says so; its part is shared at once and until a new life of it
+// is heard. Late words of the former life change nothing.
+func TestGatewayThatLeavesIsNotCounted(t *testing.T) {
+	r := newRig(t, nil)
+	leave := func(from, epoch, seq int) {
+		r.do(PeerMessage{From: from, Text: words.Totals{Epoch: epoch, Seq: seq, Leaves: true}.Text()})
+	}
+	part := func() float64 {
+		r.ask("get", "wide", "x", 100)
+		c := r.g.quota.Find(words.Key("x"))
+		r.g.quota.Leak(c)
+		return c.Part
+	}
+	for from := 1; from < 3; from++ {
+		r.do(PeerMessage{From: from, Text: message(7, 1, entry("x", 0, 0, 0, 0))})
+		r.do(PeerMessage{From: from, Text: message(7, 2, entry("x", 0, 0, 1900, 0))})
+	}
+	if got := part(); got > 0.4 {
+		t.Errorf("part is %.2f beside two that ask for much more, want the even floor", got)
+	}
+	leave(1, 7, 3)
+	r.do(PeerMessage{From: 1, Text: message(7, 2, entry("x", 0, 0, 1900, 0))}) // overtaken by the leave
+	leave(2, 7, 3)
+	for range 3 { // it also stays so when it is not heard for long
+		if got := part(); got < 0.99 {
+			t.Errorf("part is %.2f though the others left, want all", got)
+		}
+		r.now += 2 * time.Second
+	}
+	r.do(PeerMessage{From: 1, Text: message(9, 1, entry("x", 0, 0, 0, 0))})
+	r.do(PeerMessage{From: 1, Text: message(9, 2, entry("x", 0, 0, 1900, 0))})
+	leave(1, 7, 3) // of the former life, late
+	if got := part(); got > 0.4 {
+		t.Errorf("part is %.2f beside a new life of one that asks for much more, want the even floor", got)
+	}
+}
+
+// TestLeavingIsTold: each peer is told often enough that a loss does no harm, and by a message that it takes.
+func TestLeavingIsTold(t *testing.T) {
+	r, told := newRig(t, nil), map[int]int{}
+	for _, m := range find[Tell](r.do(Leaving{})) {
+		if totals, ok := words.ParseTotals(m.Text, nil); ok && totals.Leaves {
+			told[m.To]++
+		}
+	}
+	if len(told) != 2 || told[1] != 3 || told[2] != 3 {
+		t.Errorf("told %v, want gateways 1 and 2 three times each", told)
+	}
+	if acts := newRig(t, func(c *Config) { c.Gateways, c.PeerIntake = 300, 1 }).do(Leaving{}); len(acts) != 0 {
+		t.Errorf("where customers have homes nobody counts parts, yet it tells %#v", acts)
+	}
+}
+
+func TestToldUseSettlesTheLevel(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(PeerMessage{From: 1, Text: message(1, 1, entry("x", 1, 0, 0, 0))})
+	r.do(PeerMessage{From: 2, Text: message(1, 1)})
+	_, acts := r.ask("get", "small", "x", 1)
+	if len(find[Send](acts)) != 1 {
+		t.Fatalf("refused though all peers told that nothing was used: %#v", acts)
+	}
+	r.now += 100 * ms
+	r.do(PeerMessage{From: 1, Text: message(1, 2, entry("x", 1, 12, 12, 0))})
+	r.do(PeerMessage{From: 2, Text: message(1, 2)})
+	if _, acts = r.ask("get", "small", "x", 1); len(find[Send](acts)) != 0 {
+		t.Errorf("sent on though a peer told that the whole burst is used")
+	}
+	r.now += 2 * time.Second // the peers have fallen silent; their told use leaks away
+	if _, acts = r.ask("get", "small", "x", 1); len(find[Send](acts)) != 1 {
+		t.Errorf("refused after two seconds of leaking: %#v", acts)
+	}
+}
+
+func TestPeerMessagesDoNoHarm(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(PeerMessage{From: 1, Text: message(1, 5, entry("x", 1, 0, 0, 0))})
+	r.do(PeerMessage{From: 1, Text: message(1, 6, entry("x", 1, 4, 4, 0))})
+	c := r.g.quota.Find(words.Key("x"))
+	for _, e := range []PeerMessage{
+		{From: 1, Text: message(1, 6, entry("x", 1, 4, 4, 0))},  // again
+		{From: 1, Text: message(1, 5, entry("x", 1, 0, 0, 0))},  // late
+		{From: 0, Text: message(1, 9, entry("x", 1, 9, 9, 0))},  // own rank
+		{From: 9, Text: message(1, 9, entry("x", 1, 9, 9, 0))},  // no such gateway
+		{From: -1, Text: message(1, 9, entry("x", 1, 9, 9, 0))}, // nor this
+		{From: 1, Text: "Z" + message(1, 9, entry("x", 1, 9, 9, 0))[1:]},
+		{From: 1, Text: message(1, 9, entry("x", 1, 9, 9, 0)) + "!"},
+		{From: 1, Text: message(1, 9) + "!!!!!!!!!!!!"},
+		{From: 1, Text: ""},
+	} {
+		r.do(e)
+		if c.Whole != 4 {
+			t.Fatalf("after %#v the whole bucket holds %v, want 4", e, c.Whole)
+		}
+	}
+	r.do(PeerMessage{From: 1, Text: message(1, 7, entry("y", 60, 9, 9, 0))}) // plan unknown here
+	// A new life of the peer counts from 0 again, and all that it used since is news.
+	r.do(PeerMessage{From: 1, Text: message(2, 1, entry("x", 1, 3, 3, 0))})
+	if c.Whole != 7 {
+		t.Errorf("after the peer's restart the whole bucket holds %v, want 7", c.Whole)
+	}
+}
+
+func TestRestartLearnsWhatPeersKnow(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(PeerMessage{From: 1, Text: message(1, 40, entry("x", 1, 700, 800, 30))})
+	r.do(PeerMessage{From: 2, Text: message(3, 50)})
+	if _, acts := r.ask("get", "small", "x", 1); len(find[Send](acts)) != 0 {
+		t.Error("a restarted gateway sent on though its peers told that the burst is used up")
+	}
+}
+
+func TestMessagesAreSmall(t *testing.T) {
+	r := newRig(t, nil)
+	for i := 0; i < 100; i++ {
+		r.serve("get", "wide", fmt.Sprint("c", i), 1)
+	}
+	told := map[int]int{}
+	for i := 0; i < 20; i++ {
+		r.now += 200 * ms
+		for _, m := range find[Tell](r.do(TimerFired{beatToken})) {
+			if len(m.Text) > words.Most {
+				t.Fatalf("message of %d bytes, want %d at most", len(m.Text), words.Most)
+			}
+			totals, _ := words.ParseTotals(m.Text, nil)
+			told[m.To] += len(totals.Entries)
+		}
+	}
+	if told[1] != 100 || told[2] != 100 || told[0] != 0 {
+		t.Errorf("told of %v customers by gateway, want 100 each for 1 and 2", told)
+	}
+}
+
+func TestOpenCap(t *testing.T) {
+	r := newRig(t, nil)
+	r.send("get", "open")
+	if _, acts := r.ask("get", "open", "c", 1); len(find[Refuse](acts)) != 1 {
+		t.Errorf("a second attempt out with a third of 3: got %#v, want Refuse", acts)
+	}
+	r.end("q1", 0, "s1", OK)
+	r.send("get", "open")
+}
+
+// TestOpenCapCountsPeers: a cap of 3 is used where the traffic is, and never by more gateways than have told.
+func TestOpenCapCountsPeers(t *testing.T) {
+	r, seq := newRig(t, nil), 0
+	tell := func(from, open int) {
+		seq++
+		r.do(PeerMessage{From: from, Text: message(1, seq, entryOpen("c", 3, 0, 0, open, 0))})
+	}
+	most := func() (n int) {
+		var sent []string
+		for range 5 {
+			if id, acts := r.ask("get", "open", "c", 1); len(find[Send](acts)) == 1 {
+				sent = append(sent, id)
+			}
+		}
+		for _, id := range sent {
+			r.end(id, 0, r.g.requests[id].attempts[0].server.ID, OK)
+		}
+		return len(sent)
+	}
+	for _, step := range []struct {
+		name   string
+		a, b   int // told by the peers; -1: nothing
+		passes time.Duration
+		want   int
+	}{
+		{"no peer was heard yet: a third, rounded up", -1, -1, 0, 1},
+		{"one peer was heard", 0, -1, 0, 1},
+		{"both have none out", 0, 0, 0, 3},
+		{"one has two out", 2, 0, 0, 1},
+		{"both have some out", 2, 1, 0, 0},
+		{"more than the cap by a race", 2, 2, 0, 0},
+		{"one ended", 2, 0, 0, 1},
+		{"word of the ends was lost", -1, -1, 800 * ms, 3},
+		{"the peers fell silent, who asked for nothing", -1, -1, time.Second, 3},
+	} {
+		r.now += step.passes
+		if step.a >= 0 {
+			tell(1, step.a)
+		}
+		if step.b >= 0 {
+			tell(2, step.b)
+		}
+		if got := most(); got != step.want {
+			t.Errorf("%s: %d let out, want %d", step.name, got, step.want)
+		}
+	}
+}
+
+// TestOpenAttemptsAreTold: peers hear of an attempt under a cap, and that it ended.
+func TestOpenAttemptsAreTold(t *testing.T) {
+	r := newRig(t, nil)
+	told := func() int {
+		r.now += r.g.quota.BeatEvery()
+		for _, m := range find[Tell](r.do(TimerFired{Token: beatToken})) {
+			if totals, _ := words.ParseTotals(m.Text, nil); m.To == 1 && len(totals.Entries) > 0 {
+				return totals.Entries[0].Open
+			}
+		}
+		return -1
+	}
+	id, s := r.send("get", "open")
+	if got := told(); got != 1 {
+		t.Errorf("told of %d attempts out, want 1", got)
+	}
+	r.end(id, 0, s.Server, OK)
+	if got := told(); got != 0 {
+		t.Errorf("told of %d attempts out after the end, want 0", got)
+	}
+}
+
+func TestMeterDecidesThePartWherePeersAreSilent(t *testing.T) {
+	for metered, want := range map[int]float64{1 + 100: 0.9, 1 + 1000: 1.0 / 3, 0: 1.0 / 3} {
+		r := newRig(t, nil)
+		id, s := r.send("get", "wide")
+		r.do(AttemptEnded{ID: id, Server: s.Server, Outcome: OK, Took: ms, Done: true, Metered: metered})
+		c := r.g.quota.Find(words.Key("c"))
+		r.g.quota.Charge(c, 1800) // 900 units a second over the memory, of a rate of 1000
+		if r.g.quota.Leak(c); math.Abs(c.Part-want) > 0.01 {
+			t.Errorf("told %d: part is %v, want %v", metered, c.Part, want)
+		}
+	}
+}
+
+// A peer that has forgotten a customer counts anew. Its lower totals must not be taken for use given back.
+func TestPeerThatForgotCountsAnew(t *testing.T) {
+	r := newRig(t, nil)
+	r.do(PeerMessage{From: 1, Text: message(1, 1, entry("x", 0, 0, 0, 0))})
+	r.do(PeerMessage{From: 1, Text: message(1, 2, entry("x", 0, 50, 50, 1))})
+	r.now += 10 * time.Second
+	r.serve("get", "wide", "x", 900)
+	before := r.g.quota.Find(words.Key("x")).Whole
+	r.do(PeerMessage{From: 1, Text: message(1, 3, entry("x", 0, 2, 2, 0))})
+	if now := r.g.quota.Find(words.Key("x")).Whole; now < before {
+		t.Errorf("the customer's level fell from %v to %v", before, now)
+	}
+}
--- /dev/null
+++ b/internal/h2/floods_test.go
@@ -0,0 +1,122 @@
+package h2
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+
+	"sloepick/internal/gateway"
+	"sloepick/internal/stand"
+)
+
+// Each flood on sockets: its client is sent away with the right code, and the usual one is served before and after.
+func TestFloods(t *testing.T) {
+	const many = 5000
+	block := func(f *http2.Framer, id uint32, ends bool) {
+		q := look(fmt.Sprint("flood-", id))
+		q.Customer = "0000000000000009"
+		f.WriteHeaders(http2.HeadersFrameParam{StreamID: id, EndStream: ends, EndHeaders: true, BlockFragment: stand.NewH2Encoder().Block(q)})
+	}
+	for name, x := range map[string]struct {
+		flood func(f *http2.Framer, i int)
+		begin func(f *http2.Framer)
+		code  http2.ErrCode
+	}{
+		"PING (CVE-2019-9512)":       {flood: func(f *http2.Framer, _ int) { f.WritePing(false, [8]byte{}) }},
+		"SETTINGS (CVE-2019-9515)":   {flood: func(f *http2.Framer, _ int) { f.WriteSettings() }},
+		"PRIORITY (CVE-2019-9513)":   {flood: func(f *http2.Framer, i int) { f.WritePriority(1, http2.PriorityParam{StreamDep: uint32(3 + 2*(i%50))}) }},
+		"empty DATA (CVE-2019-9518)": {begin: func(f *http2.Framer) { block(f, 1, false) }, flood: func(f *http2.Framer, _ int) { f.WriteData(1, false, nil) }},
+		"CONTINUATION (CVE-2024-27316)": {begin: func(f *http2.Framer) {
+			f.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: []byte{0x82}})
+		}, flood: func(f *http2.Framer, _ int) { f.WriteContinuation(1, false, []byte{0x40, 1, 'a', 1, 'b'}) }},
+		"rapid reset (CVE-2023-44487)": {flood: func(f *http2.Framer, i int) {
+			block(f, uint32(1+2*i), true)
+			f.WriteRSTStream(uint32(1+2*i), http2.ErrCodeCancel)
+		}},
+		"made-you-reset (CVE-2025-8671)": {flood: func(f *http2.Framer, i int) {
+			block(f, uint32(1+2*i), true)
+			f.WriteRawFrame(http2.FrameWindowUpdate, 0, uint32(1+2*i), make([]byte, 4))
+		}},
+		"malformed requests (CVE-2019-9514)": {flood: func(f *http2.Framer, i int) {
+			f.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(1 + 2*i), EndStream: true, EndHeaders: true, BlockFragment: []byte{0x82}})
+		}},
+		"WINDOW_UPDATE by one (CVE-2019-9517)": {flood: func(f *http2.Framer, _ int) { f.WriteWindowUpdate(0, 1) }},
+		"HPACK: a table size beyond the bound": {flood: func(f *http2.Framer, i int) {
+			f.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(1 + 2*i), EndStream: true, EndHeaders: true, BlockFragment: []byte{0x3f, 0xe2, 0x1f, 0x82}})
+		}, code: http2.ErrCodeCompression},
+		"HPACK growth: a large field, referred": {flood: func(f *http2.Framer, i int) {
+			f.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(1 + 2*i), EndStream: true, EndHeaders: true, BlockFragment: growth(i)})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, platform(), nil)
+			good, rude := r.dial(nil), r.dial(nil)
+			if a := r.call(good, look("before")); a.Status != 200 {
+				t.Fatalf("got %+v", a)
+			}
+			ended := make(chan *http2.GoAwayFrame, 1)
+			go func() { // reads beside the writer, and answers nothing
+				for f := http2.NewFramer(nil, rude.Conn); ; {
+					x, err := f.ReadFrame()
+					if away, ok := x.(*http2.GoAwayFrame); ok || err != nil {
+						ended <- away
+						return
+					}
+				}
+			}()
+			f := http2.NewFramer(rude.Conn, nil)
+			f.AllowIllegalWrites = true
+			if x.begin != nil {
+				x.begin(f)
+			}
+			for i := range many {
+				x.flood(f, i) // errors show that it was sent away
+			}
+			if x.code == 0 {
+				x.code = http2.ErrCodeEnhanceYourCalm
+			}
+			select {
+			case a := <-ended:
+				if a == nil || a.ErrCode != x.code {
+					t.Errorf("the rude client got %v", a)
+				}
+			case <-time.After(patience):
+				t.Error("the flood goes on")
+			}
+			if a := r.call(good, look("after")); a.Status != 200 {
+				t.Errorf("the usual client got %+v", a)
+			}
+		})
+	}
+}
+
+// growth is a block whose first piece puts a large field into the table, and that then names it over and over.
+func growth(i int) []byte {
+	var b []byte
+	if i == 0 {
+		b = append(b, 0x40, 1, 'a', 0x7f, 0xa1, 0x1e) // a value of 4,000 bytes: 127 + 0x21 + 0x1e x 128
+		b = append(b, bytes.Repeat([]byte("x"), 127+0x21+0x1e*128)...)
+	}
+	return append(b, bytes.Repeat([]byte{0xbe}, 1000)...) // the table's newest
+}
+
+// A client that opens no window is given up after the stated time, on its stream alone.
+func TestNoWindow(t *testing.T) {
+	r := newRig(t, platform(), func(cfg *gateway.Config, _ *Listener) {
+		cfg.Tuning.Clients.Write = 100 * time.Millisecond
+	})
+	c := r.dial(nil, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+	stuck := r.ask(c, look("stuck"))
+	if a := r.read(c); a.Stream != stuck || !a.Reset || a.Code != http2.ErrCodeCancel {
+		t.Fatalf("got %+v", a)
+	}
+	if err := c.Framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 1000}); err != nil {
+		t.Fatal(err)
+	}
+	if a := r.call(c, look("next")); a.Status != 200 {
+		t.Errorf("got %+v", a)
+	}
+}
--- /dev/null
+++ b/internal/h2/mixed_test.go
@@ -0,0 +1,211 @@
+package h2
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+
+	"sloepick/internal/gateway"
+	"sloepick/internal/stand"
+	"sloepick/internal/stand/seeds"
+)
+
+// caller sends requests by either protocol, one at a time.
+type caller struct {
+	r   *rig
+	h2  *stand.H2Client
+	old *stand.Client
+}
+
+func (c *caller) dial() {
+	c.h2 = c.r.dial(nil)
+	var err error
+	if c.old, err = stand.Dial(c.r.resp); err != nil {
+		c.r.t.Fatal(err)
+	}
+	c.r.t.Cleanup(c.old.Close)
+}
+
+// words are a request as RESP2 has it.
+func words(q stand.H2Request) []string {
+	name, class, list := "Q.ASK", strings.TrimPrefix(q.Path, "/v1/ask/"), ""
+	if q.Key != "" {
+		name, class, list = "Q.DO", strings.TrimPrefix(q.Path, "/v1/do/"), ",k="+q.Key
+	}
+	return []string{name, q.Customer, q.ID, fmt.Sprintf("c=%s,t=%s,d=%d,units=%s%s", class, q.Plan, q.Patience.Milliseconds(), q.Units, list)}
+}
+
+// call asks and tells the status of the answer, as HTTP has it.
+func (c *caller) call(q stand.H2Request, byH2 bool) int {
+	c.r.t.Helper()
+	if byH2 {
+		status := c.r.call(c.h2, q).Status
+		if status == 503 { // RESP2 has one word for both
+			status = 429
+		}
+		return status
+	}
+	if err := c.old.Send(words(q)...); err != nil {
+		c.r.t.Fatal(err)
+	}
+	got, err := c.old.Read()
+	switch {
+	case err == nil && strings.HasPrefix(got, "$"):
+		return 200
+	case err == nil && strings.HasPrefix(got, "-BUSY"):
+		return 429
+	}
+	c.r.t.Fatalf("got %q, %v", got, err)
+	return 0
+}
+
+// leave asks on a connection of its own and goes away once the request has come to a node, or was answered.
+func (c *caller) leave(q stand.H2Request, byH2 bool) {
+	c.r.t.Helper()
+	answered := make(chan struct{})
+	if byH2 {
+		h2 := c.r.dial(nil)
+		id := c.r.ask(h2, q)
+		go func() {
+			h2.Read()
+			close(answered)
+		}()
+		c.wait(q.ID, answered)
+		h2.Conn.SetReadDeadline(time.Unix(1, 0)) // its reader ends, and the writer is alone
+		<-answered
+		if err := h2.Framer.WriteRSTStream(id, http2.ErrCodeCancel); err != nil {
+			c.r.t.Error(err)
+		}
+		return
+	}
+	old, err := stand.Dial(c.r.resp)
+	if err != nil {
+		c.r.t.Fatal(err)
+	}
+	if err := old.Send(words(q)...); err != nil {
+		c.r.t.Fatal(err)
+	}
+	go func() {
+		old.Read()
+		close(answered)
+	}()
+	c.wait(q.ID, answered)
+	old.Close()
+}
+
+// wait waits until a request has come to a node, or was answered.
+func (c *caller) wait(id string, answered <-chan struct{}) {
+	c.r.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		if slices.ContainsFunc(c.r.site.Tally.Arrivals(), func(a stand.Arrival) bool { return a.ID == id }) {
+			return
+		}
+		select {
+		case <-answered:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+	c.r.t.Fatalf("%s did not come to a node", id)
+}
+
+// playMix sends the same drawn requests by one protocol, the other, or each by either. Some clients go away while theirs is at
+// a node; a node drains, and the gateway is restarted. It tells the units that were let in for each customer, and how each
+// request ended.
+func playMix(t *testing.T, seed uint64, h2Nodes int, byH2 func(i int) bool) (units map[string]float64, ends []string) {
+	p := platform()
+	p.H2Nodes = h2Nodes
+	r := newRig(t, p, func(cfg *gateway.Config, _ *Listener) {
+		cfg.Backs = map[string]gateway.Back{stand.H2Kind: NewBack(BackConfig{Streams: 100, Connections: 2, Ping: patience, Idle: patience})}
+	})
+	for _, n := range r.site.Nodes {
+		n.Stall(func(a stand.Arrival) time.Duration {
+			if strings.HasPrefix(a.ID, "gone") {
+				return 50 * time.Millisecond
+			}
+			return 0
+		})
+	}
+	rnd, c := seeds.Rand(seed), &caller{r: r}
+	c.dial()
+	asked, keyed := map[string]float64{}, map[string]bool{}
+	const requests = 300
+	for i := range requests {
+		switch i {
+		case requests / 2:
+			if err := r.site.Drain(0); err != nil {
+				t.Fatal(err)
+			}
+		case requests * 2 / 3:
+			c.h2.Close()
+			c.old.Close()
+			r.end()
+			r.start()
+			c.dial()
+		}
+		n := 1 + rnd.IntN(2)
+		q := stand.H2Request{Path: "/v1/ask/slot-lookup", Customer: fmt.Sprintf("%016x", 1+rnd.IntN(12)), Plan: p.Plans[rnd.IntN(len(p.Plans))].Name,
+			ID: fmt.Sprintf("r-%d", i), Patience: patience, Units: strconv.Itoa(n)}
+		if rnd.IntN(2) == 0 {
+			q.Path, q.Key = "/v1/do/slot-book", fmt.Sprintf("k%d", i)
+		}
+		leaves := rnd.IntN(20) == 0
+		if leaves {
+			q.ID = fmt.Sprintf("gone-%d", i)
+		}
+		keyed[q.ID] = q.Key != ""
+		asked[q.ID] = float64(n)
+		if leaves {
+			c.leave(q, byH2(i))
+			continue
+		}
+		ends = append(ends, fmt.Sprintf("%s %d", q.ID, c.call(q, byH2(i))))
+	}
+	units, seen := map[string]float64{}, map[string]bool{}
+	for _, a := range r.site.Tally.Arrivals() {
+		if a.Units != asked[a.ID] {
+			t.Errorf("%s came with %v units, not %v", a.ID, a.Units, asked[a.ID])
+		}
+		if !seen[a.ID] {
+			units[a.Customer] += a.Units
+		}
+		seen[a.ID] = true
+	}
+	for id, n := range r.site.Tally.Effects() {
+		if n != 1 && keyed[id] { // on a machine that is late a look-up may be tried twice
+			t.Errorf("%s took effect %d times", id, n)
+		}
+	}
+	return units, ends
+}
+
+// The same load by RESP2, by HTTP/2 and by both in turn: the same units let in for each customer, the same ending of each
+// request, and one answer each.
+func TestMixedProtocolsOneQuota(t *testing.T) {
+	seeds.Play(t, []uint64{1, 2}, func(t *testing.T, seed uint64) {
+		units, ends := playMix(t, seed, 0, func(int) bool { return false })
+		for name, mix := range map[string]func(int) bool{"HTTP/2": func(int) bool { return true }, "both": func(i int) bool { return i%2 == 0 }} {
+			u, e := playMix(t, seed, 0, mix)
+			if fmt.Sprint(u) != fmt.Sprint(units) {
+				t.Errorf("%s: %v units, by RESP2 %v", name, u, units)
+			}
+			if !slices.Equal(e, ends) {
+				t.Errorf("%s: requests end in another way than by RESP2", name)
+			}
+		}
+		served := 0
+		for _, e := range ends {
+			if strings.HasSuffix(e, " 200") {
+				served++
+			}
+		}
+		if served < 50 || served > 250 {
+			t.Errorf("%d of %d were served: too little for a test", served, len(ends))
+		}
+	})
+}
--- /dev/null
+++ b/internal/h2/rig_test.go
@@ -0,0 +1,222 @@
+package h2
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/tls"
+	"crypto/x509"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"golang.org/x/net/http2"
+
+	"sloepick/internal/gateway"
+	"sloepick/internal/resp"
+	"sloepick/internal/stand"
+	"sloepick/internal/tuning"
+)
+
+const (
+	patience = 20 * time.Second // for what must come; no test waits for it to pass
+	customer = "00000000b4d65521"
+)
+
+// rig is a gateway in this process, with RESP2's listener and one of HTTP/2, and a site of nodes.
+type rig struct {
+	t     testing.TB
+	site  *stand.Site
+	resp  string
+	front *Front
+	cfg   gateway.Config
+	l     Listener
+	stop  context.CancelFunc
+	done  chan error
+}
+
+// platform is the clinic's, with quotas that don't refill while a test runs, and patient clients.
+func platform() *stand.Platform {
+	p := stand.Clinic()
+	for i := range p.Plans {
+		p.Plans[i].Rate, p.Plans[i].Ceiling = 0.01, stand.Ceiling{}
+	}
+	for i := range p.Classes {
+		p.Classes[i].Patience, p.Classes[i].Work = patience, time.Millisecond
+	}
+	p.Rules.Ceilings = nil
+	return p
+}
+
+func newRig(t *testing.T, p *stand.Platform, change func(*gateway.Config, *Listener)) *rig {
+	t.Helper()
+	return newRigOf(t, p, 2, change)
+}
+
+func newRigOf(t testing.TB, p *stand.Platform, nodes int, change func(*gateway.Config, *Listener)) *rig {
+	t.Helper()
+	r := &rig{t: t, done: make(chan error, 1)}
+	var err error
+	if r.site, err = stand.NewSite(p, nodes); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.site.Close)
+	places, err := stand.Places(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := p.Config(0, places, r.site.Discovery.Addr().String(), 1, r.site.List())
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "platform.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := gateway.LoadConfig(func(name string) string { return map[string]string{"GW_CONFIG": file}[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Tuning = tuning.Default()
+	cfg.Tuning.Stop.Accept, cfg.Tuning.Stop.LastCall, cfg.Tuning.Clients.Fault = 50*time.Millisecond, 50*time.Millisecond, 100*time.Millisecond
+	l := Listener{Name: "test", Address: "127.0.0.1:0", Streams: 100, Shake: 5 * time.Second}
+	if change != nil {
+		change(&cfg, &l)
+	}
+	r.cfg, r.l, r.resp = cfg, l, places[0].Listen
+	r.start()
+	t.Cleanup(r.end)
+	return r
+}
+
+// start starts the gateway and waits until it answers.
+func (r *rig) start() {
+	r.t.Helper()
+	var err error
+	if r.front, err = NewFront(r.l); err != nil {
+		r.t.Fatal(err)
+	}
+	r.cfg.Fronts, r.cfg.Back = []gateway.Front{resp.NewFront(r.cfg.Listen), r.front}, resp.Back{}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.done <- gateway.Run(ctx, r.cfg, nil, slog.New(slog.DiscardHandler)) }()
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		c, err := stand.Dial(r.resp)
+		if err == nil {
+			c.Close()
+			return
+		}
+		if time.Now().After(end) {
+			r.t.Fatal(err)
+		}
+	}
+}
+
+// end stops it as SIGTERM would, and waits.
+func (r *rig) end() {
+	r.stop()
+	select {
+	case err := <-r.done:
+		if err != nil {
+			r.t.Error(err)
+		}
+	case <-time.After(patience):
+		r.t.Error("the gateway does not end")
+	}
+}
+
+func (r *rig) dial(by *tls.Config, settings ...http2.Setting) *stand.H2Client {
+	r.t.Helper()
+	c, err := stand.DialH2(r.front.Addr().String(), by, settings...)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(c.Close)
+	if err := c.Conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		r.t.Fatal(err)
+	}
+	return c
+}
+
+func look(id string) stand.H2Request {
+	return stand.H2Request{Path: "/v1/ask/slot-lookup", Customer: customer, Plan: "network", ID: id, Patience: patience, Units: "1"}
+}
+
+func (r *rig) ask(c *stand.H2Client, q stand.H2Request) uint32 {
+	r.t.Helper()
+	id, err := c.Ask(q)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return id
+}
+
+func (r *rig) read(c *stand.H2Client) *stand.H2Answer {
+	r.t.Helper()
+	a, err := c.Read()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return a
+}
+
+func (r *rig) call(c *stand.H2Client, q stand.H2Request) *stand.H2Answer {
+	r.t.Helper()
+	id := r.ask(c, q)
+	a := r.read(c)
+	if a.Stream != id {
+		r.t.Fatalf("asked on %d, got %+v", id, a)
+	}
+	return a
+}
+
+// hold keeps nodes from answering until the test lets go.
+func (r *rig) hold() (let func()) {
+	gate := make(chan struct{})
+	for _, n := range r.site.Nodes {
+		n.Stall(func(stand.Arrival) time.Duration {
+			select {
+			case <-gate:
+			case <-time.After(patience):
+			}
+			return 0
+		})
+	}
+	return func() { close(gate) }
+}
+
+// arrived waits until so many requests have come to the nodes.
+func (r *rig) arrived(n int) {
+	r.t.Helper()
+	for end := time.Now().Add(patience); len(r.site.Tally.Arrivals()) < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("only %d requests came to the nodes", len(r.site.Tally.Arrivals()))
+		}
+	}
+}
+
+// taken waits until the gateway has taken what was sent on a connection on which no answer is due.
+func (r *rig) taken(c *stand.H2Client) {
+	r.t.Helper()
+	if err := c.Framer.WritePing(false, [8]byte{1}); err != nil {
+		r.t.Fatal(err)
+	}
+	for {
+		f, err := c.Framer.ReadFrame()
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		if ping, ok := f.(*http2.PingFrame); ok && ping.IsAck() {
+			return
+		}
+	}
+}
+
+// authority signs certificates for the tests.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pem  []byte
+}
