Tell the doubt of the fleet's clock by the others' readings; judge news before the demonstration is left up

From a clean clone, as a new user: fleet status said "clock: 5 of 5 members agree, known up to 0s": this member's own reading, a point, was in the intersection. It votes, and the bounds are the others' now, so quiet hours are held back by the true doubt.

--- a/cmd/sloectl/demo.go
+++ b/cmd/sloectl/demo.go
@@ -148,12 +148,12 @@
 	}
 	fmt.Fprint(out, d.table(time.Since(start)))
 	code = exitOK
-	if keep {
-		d.leaveUp(ctx, out)
-	}
 	if d.fleet > 0 && !d.news(ctx, out) {
 		code = exitNo
 	}
+	if keep {
+		d.leaveUp(ctx, out)
+	}
 	for _, g := range d.gateways {
 		if err := g.Stop(); err != nil {
 			fmt.Fprintf(out, "BROKEN  a gateway's end: %v\n", err)
--- a/internal/gossip/regions.go
+++ b/internal/gossip/regions.go
@@ -42,14 +42,14 @@
 
 // clock is the fleet's clock, at a time of this member's wall clock.
 func clockOf(rows []NewsRow, self string, at time.Time) Clock {
-	readings := []quiet.Reading{{}}
+	var readings []quiet.Reading
 	for _, row := range rows {
 		if row.Name != self {
 			readings = append(readings, quiet.Told(time.UnixMilli(row.Wall), at, row.Age+wallStep))
 		}
 	}
 	r, agree, ok := quiet.Agree(readings)
-	c := Clock{OK: ok, Agree: agree, Of: len(readings), Ahead: (r.Least + r.Most) / 2, Doubt: (r.Most - r.Least) / 2}
+	c := Clock{OK: ok, Agree: agree, Of: len(readings) + 1, Ahead: (r.Least + r.Most) / 2, Doubt: (r.Most - r.Least) / 2}
 	c.Off = ok && max(c.Ahead, -c.Ahead) > c.Doubt+offMost
 	return c
 }
--- a/internal/quiet/clock.go
+++ b/internal/quiet/clock.go
@@ -16,25 +16,34 @@
 	return Reading{ahead, ahead + age}
 }
 
-// Agree is by how much the fleet's clock is ahead of this member's: within the narrowest bounds that most readings have in common (Marzullo,
-// 1984), this member's own, which is 0, among them. A clock that is off, or lies, is outvoted as long as more than half agree; where no
-// more than half do there is no clock, and it reports false.
-func Agree(readings []Reading) (r Reading, agree int, ok bool) {
+// Agree is by how much the fleet's clock is ahead of this member's, whose own reading is 0: within the bounds that those others have in common
+// who agree with most (Marzullo, 1984). A clock that is off, or lies, is outvoted as long as more than half agree, this member's own
+// counted; where no more than half do there is no clock, and it reports false.
+func Agree(others []Reading) (r Reading, agree int, ok bool) {
 	type edge struct {
 		at   time.Duration
 		step int
 	}
-	var edges []edge
-	for _, x := range readings {
+	edges := []edge{{0, 1}, {0, -1}}
+	for _, x := range others {
 		edges = append(edges, edge{x.Least, 1}, edge{x.Most, -1})
 	}
 	slices.SortFunc(edges, func(a, b edge) int { return cmp.Or(cmp.Compare(a.at, b.at), b.step-a.step) }) // those that touch agree
 	in := 0
-	for i, e := range edges {
+	var at time.Duration // where most agree
+	for _, e := range edges {
 		if in += e.step; in > agree {
-			agree = in
-			r = Reading{e.at, edges[i+1].at}
+			agree, at = in, e.at
 		}
 	}
-	return r, agree, agree*2 > len(readings)
+	none := true
+	for _, x := range others {
+		if x.Least <= at && at <= x.Most {
+			if none {
+				r, none = x, false
+			}
+			r = Reading{max(r.Least, x.Least), min(r.Most, x.Most)}
+		}
+	}
+	return r, agree, agree*2 > len(others)+1
 }
--- a/internal/quiet/quiet_test.go
+++ b/internal/quiet/quiet_test.go
@@ -161,22 +161,22 @@
 	ms := func(least, most int) Reading {
 		return Reading{time.Duration(least) * time.Millisecond, time.Duration(most) * time.Millisecond}
 	}
-	own := Reading{}
 	for _, tc := range []struct {
-		name string
-		of   []Reading
-		want Reading
-		n    int
-		ok   bool
+		name   string
+		others []Reading
+		want   Reading
+		n      int
+		ok     bool
 	}{
-		{"alone", []Reading{own}, own, 1, true},
-		{"all agree", []Reading{own, ms(-20, 30), ms(-5, 80)}, own, 3, true},
-		{"one is a year off", []Reading{own, ms(-20, 30), {365 * 24 * time.Hour, 366 * 24 * time.Hour}}, own, 2, true},
-		{"this one is an hour off", []Reading{own, ms(3600000, 3600500), ms(3600200, 3600900), ms(3599000, 3600300)}, ms(3600200, 3600300), 3, true},
-		{"two and two", []Reading{own, ms(-5, 5), ms(9000, 9010), ms(9005, 9020)}, own, 2, false},
-		{"they touch", []Reading{own, ms(0, 10)}, own, 2, true},
+		{"alone", nil, Reading{}, 1, true},
+		{"all agree", []Reading{ms(-20, 30), ms(-5, 80)}, ms(-5, 30), 3, true},
+		{"one is a year off", []Reading{ms(-20, 30), {365 * 24 * time.Hour, 366 * 24 * time.Hour}}, ms(-20, 30), 2, true},
+		{"this one is an hour off", []Reading{ms(3600000, 3600500), ms(3600200, 3600900), ms(3599000, 3600300)}, ms(3600200, 3600300), 3, true},
+		{"two and two", []Reading{ms(-5, 5), ms(9000, 9010), ms(9005, 9020)}, ms(-5, 5), 2, false},
+		{"they touch", []Reading{ms(0, 10)}, ms(0, 10), 2, true},
+		{"one other, who is off", []Reading{ms(500, 510)}, Reading{}, 1, false},
 	} {
-		if r, n, ok := Agree(tc.of); r != tc.want || n != tc.n || ok != tc.ok {
+		if r, n, ok := Agree(tc.others); r != tc.want || n != tc.n || ok != tc.ok {
 			t.Errorf("%s: %v, %d, %v; want %v, %d, %v", tc.name, r, n, ok, tc.want, tc.n, tc.ok)
 		}
 	}
