--- a/cmd/sloectl/demo.go
+++ b/cmd/sloectl/demo.go
@@ -422,7 +422,7 @@
 	return kept
 }
 
-const newsDelay = 250 * time.Millisecond // a message between two gateways takes no longer, also on a busy machine
+const newsDelay = time.Second // a message between two gateways takes no longer, also on a busy machine
 
 // news tells whether each member knows of all others, as of the stated time ago.
 func (d *demonstration) news(ctx context.Context, out io.Writer) bool {
