Let a scripted node of a test pass over strangers, who may look for its port's former owner

TestBudgetHoldsOnTheWire ended with an index out of range once, beside two other suites: 'Host: 127.0.0.1' had come, a call for a discovery of another process that had the same port before.

--- a/internal/gateway/route_test.go
+++ b/internal/gateway/route_test.go
@@ -214,7 +214,7 @@
 	var servers []gateway.ServerEntry
 	for i := range 4 {
 		s, err := stand.NewScripted(func(conn net.Conn, args []string) {
-			if args == nil {
+			if len(args) < 3 { // the connection's end, or a stranger: a program beside this one may look for who had the port before
 				return
 			}
 			mu.Lock()
