End the time limit of a slow write with that write, and not the connection at a later one

`Outlet.Finish` sets a write deadline for what a slow client left, and never took it off; `Outlet.Try` goes by `RawConn.Write`, which fails on a connection whose write deadline has passed. So a client that once let 2 s of answers wait was cut off by the first answer after that, however well it read by then.

Change: `Finish` takes the deadline off before it tells that it is done. TestWriteDeadlineEndsWithItsWrite fails without it (seen), and TestTryFailsByAnOldDeadline holds the fact it rests on.

--- a/internal/gateway/outlet.go
+++ b/internal/gateway/outlet.go
@@ -67,7 +67,8 @@
 // Busy reports that Finish has not ended.
 func (o *Outlet) Busy() bool { return o.busy }
 
-// Finish writes the rest from a goroutine of its own, within a time, and then lets the loop call done.
+// Finish writes the rest from a goroutine of its own, within a time, and then lets the loop call done. The time limit ends with
+// the write: one left on the connection would have a later Try fail, which goes by the connection's deadlines too.
 func (o *Outlet) Finish(rest []byte, within time.Duration, d *Door, done func(error)) {
 	o.busy = true
 	go func() {
@@ -75,6 +76,9 @@
 		if err == nil {
 			_, err = o.conn.Write(rest)
 		}
+		if err == nil {
+			err = o.conn.SetWriteDeadline(time.Time{})
+		}
 		d.Post(func() {
 			o.busy = false
 			done(err)
--- /dev/null
+++ b/internal/gateway/outlet_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+)
+
+// deadlineConn is a connection that tells the last write deadline it was given.
+type deadlineConn struct {
+	*net.TCPConn
+	mu   sync.Mutex
+	last time.Time
+}
+
+func (c *deadlineConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = t
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
+func (c *deadlineConn) lastDeadline() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
+// connectedPair is a connection and its other end, both closed at the test's end.
+func connectedPair(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { dialed.Close() })
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return accepted.(*net.TCPConn), dialed.(*net.TCPConn)
+}
+
+// finish runs Outlet.Finish as the loop does, and waits for what it tells.
+func finish(t *testing.T, o *Outlet, rest []byte, within time.Duration) error {
+	t.Helper()
+	l := &loop{in: newInbox()}
+	told := make(chan error, 1)
+	o.Finish(rest, within, &Door{l}, func(err error) { told <- err })
+	<-l.in.ready
+	for _, do := range l.in.take(nil) {
+		do()
+	}
+	return <-told
+}
+
+// TestWriteDeadlineEndsWithItsWrite: a limit that was set for one slow write must not end the connection at a later one. Try
+// goes by the connection's deadlines, so one left behind fails it long after the client has caught up.
+func TestWriteDeadlineEndsWithItsWrite(t *testing.T) {
+	near, far := connectedPair(t)
+	conn := &deadlineConn{TCPConn: near}
+	o := NewOutlet(conn)
+	if err := finish(t, o, []byte("slow"), time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	if last := conn.lastDeadline(); !last.IsZero() {
+		t.Errorf("the connection keeps the deadline %v of a write that is over", last)
+	}
+	if n, err := o.Try([]byte("next")); n != 4 || err != nil {
+		t.Errorf("the next write took %d bytes, error %v", n, err)
+	}
+	got := make([]byte, 8)
+	if _, err := io.ReadFull(far, got); err != nil || string(got) != "slownext" {
+		t.Errorf("the other end read %q, error %v", got, err)
+	}
+}
+
+// TestTryFailsByAnOldDeadline holds what the mend rests on: a raw write fails once a deadline of its connection has passed.
+func TestTryFailsByAnOldDeadline(t *testing.T) {
+	near, _ := connectedPair(t)
+	if err := near.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := NewOutlet(near).Try([]byte("x")); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %v", err)
+	}
+}
