Read what crosses the end of a connection, and write no repeat after its key's window

The connection is shut for writing first and closed once the client has closed, or after `fault`; nothing is read after the shutdown. Connections on which nothing is under way close at once, as before. - An answer that overtakes the news that its long request was written whole was taken for noise, and the attempt for one that may have run. It is held for as long as an answer may take. TestAnswerBeforeTheRequestIsWhole waits for that time now, and holds that it is not shorter. - A repeat of a keyed request whose connection came up after the key's window was written all the same: servers could have run it twice. `Send` tells by when it must be written, and the core gives up what is not.

--- a/decide/api.go
+++ b/decide/api.go
@@ -383,6 +383,9 @@
 	Send struct {
 		ID, Server string
 		Timeout    time.Duration // 0: until the client gives up
+		// WriteBy is when the last byte must be written, or nothing may be: servers forget the key of a request that may have
+		// run. 0: there is no such time.
+		WriteBy time.Duration
 	}
 	// Cancel stops waiting for an attempt.
 	Cancel struct {
--- a/decide/attempts.go
+++ b/decide/attempts.go
@@ -15,6 +15,7 @@
 )
 
 func (g *Gateway) send(r *request, s *server) {
+	writeBy := repeatBy(r)
 	a := &attempt{server: s, n: len(r.attempts), at: g.now, ran: true, work: g.work(r)}
 	r.attempts = append(r.attempts, a)
 	r.out++
@@ -40,7 +41,7 @@
 			g.wake(r.ID, a.n, g.now+b.CopyAfter, forCopy)
 		}
 	}
-	g.do(Send{r.ID, s.ID, allow})
+	g.do(Send{r.ID, s.ID, allow, writeBy})
 	if wait < allow {
 		g.wake(r.ID, a.n, g.now+wait, forOverdue)
 	}
--- a/decide/rules.go
+++ b/decide/rules.go
@@ -18,11 +18,23 @@
 		}
 		same := r.class.Group == GroupAll || (r.class.Group == GroupZone && s.Zone == a.server.Zone) ||
 			(r.class.Group == GroupCell && s.Cell == a.server.Cell)
-		if r.class.Effect == Unsafe || !same || g.now-a.at >= r.class.Window-aimMargin {
+		if r.class.Effect == Unsafe || !same {
 			return false
 		}
 	}
-	return true
+	by := repeatBy(r)
+	return by == 0 || g.now < by
+}
+
+// repeatBy is until when servers surely know the key of a request that may have run: a further attempt must be with them by then,
+// however long its connection takes to come up. 0: there is no such time.
+func repeatBy(r *request) (by time.Duration) {
+	for _, a := range r.attempts {
+		if until := a.at + r.class.Window - aimMargin; r.class.Effect == Keyed && a.ran && (by == 0 || until < by) {
+			by = until
+		}
+	}
+	return by
 }
 
 // giveUp gives the final answer: a refusal where that may be promised, else a failure.
--- a/internal/gateway/back.go
+++ b/internal/gateway/back.go
@@ -103,7 +103,7 @@
 func (t *Try) Left() time.Duration { return t.a.until - t.l.clock.Now() }
 
 // Wanted looks again before the first byte, as all may have changed while a connection was made: the attempt may have been
-// called off or its request answered, and its node may drain or have moved. If it reports false, the try has ended.
+// called off or its request answered, its node may drain or have moved, and the time in which nodes know its key may be over. If it reports false, the try has ended.
 func (t *Try) Wanted() bool {
 	switch a := t.a; {
 	case a.over:
@@ -111,7 +111,7 @@
 	case a.req.done:
 		t.l.ended(a, decide.Cancelled)
 		return false
-	case a.server.entry.State != decide.Serving:
+	case a.server.entry.State != decide.Serving, a.writeBy > 0 && t.l.clock.Now() >= a.writeBy:
 		t.l.ended(a, decide.NoConnection)
 		return false
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -365,7 +365,7 @@
 		return
 	}
 	now := l.clock.Now()
-	a := &attempt{req: r, n: len(r.attempts), at: now, until: now + s.Timeout, server: l.pool.servers[s.Server]}
+	a := &attempt{req: r, n: len(r.attempts), at: now, until: now + s.Timeout, writeBy: s.WriteBy, server: l.pool.servers[s.Server]}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	if r.done {
@@ -373,6 +373,9 @@
 		return
 	}
 	a.expiry = l.at(a.until, func() { l.pool.expire(a) })
+	if a.writeBy > 0 && a.writeBy < a.until {
+		a.tooLate = l.at(a.writeBy, func() { l.pool.dropUnwritten(a) })
+	}
 	l.pool.start(a)
 }
 
@@ -385,6 +388,7 @@
 	}
 	a.over, a.outcome = true, o
 	l.unset(a.expiry)
+	l.unset(a.tooLate)
 	r := a.req
 	r.out--
 	ev := decide.AttemptEnded{ID: r.id, Attempt: a.n, Outcome: o, Took: l.clock.Now() - a.at, Done: r.done,
--- a/internal/gateway/outlet.go
+++ b/internal/gateway/outlet.go
@@ -85,3 +85,34 @@
 		})
 	}()
 }
+
+// Shutdown tells the peer that nothing more is written, and lets the loop call done once the peer has closed its side too, or
+// has had so long to. Until then the connection takes what the peer still sends, so that no reset overtakes what was written; it is
+// not read.
+func (o *Outlet) Shutdown(within time.Duration, d *Door, done func()) {
+	closer, ok := o.conn.(interface{ CloseWrite() error })
+	if !ok || o.raw == nil {
+		done()
+		return
+	}
+	go func() {
+		err := closer.CloseWrite()
+		if err == nil {
+			err = o.conn.SetReadDeadline(time.Now().Add(within))
+		}
+		if err == nil {
+			o.awaitEnd()
+		}
+		d.Post(done)
+	}()
+}
+
+// awaitEnd waits until the peer has closed its side with nothing left unread, the connection has failed, or its read deadline passes.
+func (o *Outlet) awaitEnd() {
+	_ = o.raw.Read(func(fd uintptr) (ended bool) { // that time is up is no fault here
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waits := errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+		return n <= 0 && !waits
+	})
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -164,6 +164,13 @@
 	p.giveUp(a, o)
 }
 
+// dropUnwritten gives up an attempt whose last byte was not written in time. It never ran.
+func (p *pool) dropUnwritten(a *attempt) {
+	if !a.whole {
+		p.giveUp(a, decide.NoConnection)
+	}
+}
+
 // cancel stops waiting for an attempt. Whether it ran is not known once its request may have been written.
 func (p *pool) cancel(a *attempt) { p.giveUp(a, decide.Cancelled) }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -138,7 +138,9 @@
 	n         int
 	server    *upstream // nil: unknown to this gateway
 	at, until time.Duration
+	writeBy   time.Duration // the last byte must be written by then; 0: there is no such time
 	expiry    *alarm
+	tooLate   *alarm // at writeBy
 	try       Try
 	placed    bool // its carrier has put it on a connection
 	whole     bool // the last byte may have been written
--- a/internal/resp/back.go
+++ b/internal/resp/back.go
@@ -37,6 +37,7 @@
 	retired int                          // the node's, when it was asked for
 	try     *gateway.Try                 // whose answer is owed
 	whole   bool                         // the last byte of it was handed over
+	early   *answer                      // came before it was known here that the last byte was handed over
 	asked   gateway.Baton[time.Duration] // tells the reader that an answer is owed, and how long one may take once it has begun
 	used    time.Duration
 	closed  bool
@@ -183,17 +184,35 @@
 	return true
 }
 
-// sent takes how the writing of a large request ended.
+// sent takes how the writing of a large request ended. The server may have answered by then.
 func (c *conn) sent(t *gateway.Try, err error) {
+	early := c.early
+	c.early = nil
 	if err == nil {
 		c.whole = true
 		t.Whole()
 	}
-	if err == nil && !c.closed {
+	if err != nil || c.closed {
+		c.close()
+		t.Ended(gateway.Broke)
 		return
 	}
-	c.close()
-	t.Ended(gateway.Broke)
+	if early != nil {
+		c.answered(*early)
+	}
+}
+
+// hold keeps an answer that came while its request was still being written here. The writer tells the loop that it is done
+// after the kernel has taken the last byte, and a fast server's answer may overtake that; a server that answers half a request
+// leaves the writer waiting, and what it said is no answer.
+func (c *conn) hold(a answer) {
+	c.early = &a
+	c.n.d.At(c.n.d.Now()+c.n.d.Tuning().Nodes.Answer, func() {
+		if c.early == &a {
+			c.early = nil
+			c.broke(false)
+		}
+	})
 }
 
 // park keeps a connection for the next attempt.
@@ -230,6 +249,10 @@
 		return
 	}
 	t := c.try
+	if t != nil && !c.whole && c.out.Busy() && c.early == nil {
+		c.hold(a)
+		return
+	}
 	if t == nil || !c.whole { // nobody asked, or not all of it: what a server says to that is no answer
 		c.broke(false)
 		return
--- a/internal/resp/back_test.go
+++ b/internal/resp/back_test.go
@@ -211,15 +211,36 @@
 	}
 }
 
-// An answer before its request was written whole is no answer to it.
+// An answer before its request was written whole is no answer to it. It is held for as long as an answer may take, in case only
+// the news of the last byte is late, and no longer.
 func TestAnswerBeforeTheRequestIsWhole(t *testing.T) {
 	b, out, far := large(t)
 	write(t, far, stand.Served("early"))
+	b.until("the early answer", func() bool { return out.early != nil })
+	if b.later(b.tune.Nodes.Answer - 1); len(b.ends) > 0 {
+		t.Fatalf("ended as %v before its time", b.ends[0])
+	}
+	b.clock.now.Add(1)
 	if o := b.ended(); o == decide.OK || !out.closed {
 		t.Errorf("outcome %v, closed %v", o, out.closed)
 	}
 }
 
+// An answer that overtakes the news that its request's last byte was handed over is the answer. The server had all of the
+// request; taking its answer for noise ended a request that was served as one that may have run.
+func TestAnswerOvertakesTheWritersNews(t *testing.T) {
+	b, out, far := large(t)
+	go io.Copy(io.Discard, far)
+	<-b.Posted() // the writer is done, and the loop has not heard of it
+	out.answered(answer{value: []byte("v"), inStep: true})
+	if len(b.ends) > 0 {
+		t.Fatalf("ended as %v before the writer was heard", b.ends[0])
+	}
+	if o := b.ended(); o != decide.OK || out.closed {
+		t.Errorf("outcome %v, closed %v", o, out.closed)
+	}
+}
+
 // What fails for want of something on this machine says nothing of the server.
 func TestLocalFaultsBlameNobody(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -36,8 +36,7 @@
 		nc.Close() // unread: the client sends what it may have written once more, elsewhere
 		return nil
 	}
-	r := reader{c: c}
-	go r.run()
+	go newReader(c).run()
 	return c
 }
 
@@ -86,19 +85,22 @@
 	out     *gateway.Outlet
 	slots   []*slot // in the order of the commands
 	backlog []byte  // answers behind those that are being written
-	used    time.Duration
-	owed    atomic.Int32 // answers that the reader counts on the loop to give
+	came    time.Duration
+	used    time.Duration // when it was last answered, or came
+	owed    atomic.Int32  // answers that the reader counts on the loop to give
 	// owedMost is the bound by which the reader waits; it takes a new one with each read.
 	owedMost atomic.Int32
 	resume   gateway.Baton[struct{}]
 	weaned   atomic.Bool // no further command is waited for
 	ending   bool        // to be closed once all is answered
 	read     bool        // nothing more is read from it
+	half     bool        // nothing more is written to it: the client is to close
 	closed   bool
 }
 
 func newClient(d *gateway.Door, nc net.Conn) *client {
-	return &client{d: d, conn: nc, out: gateway.NewOutlet(nc), used: d.Now(), resume: gateway.NewBaton[struct{}]()}
+	now := d.Now()
+	return &client{d: d, conn: nc, out: gateway.NewOutlet(nc), came: now, used: now, resume: gateway.NewBaton[struct{}]()}
 }
 
 // received is one command as the reader found it: a request, or an answer that needs no decision.
@@ -152,8 +154,16 @@
 // Wean ends it between requests: its reader stops once nothing more waits in the kernel, and when what
 // it had read is answered the connection is closed. Closing at once would lose a request that has come.
 func (c *client) Wean() {
+	if c.read {
+		return // it ends already
+	}
 	c.ending = true
 	c.weaned.Store(true)
+	c.wakeReader()
+}
+
+// wakeReader has the reader's read return and look again at what the loop has set.
+func (c *client) wakeReader() {
 	if err := c.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
 		c.Close() // already broken
 	}
@@ -171,6 +181,9 @@
 		c.used = c.d.Now()
 		if before := c.owed.Add(int32(-n)) + int32(n); before >= c.owedMost.Load() {
 			c.resume.Hand(struct{}{})
+			if !c.read {
+				c.wakeReader()
+			}
 		}
 	}
 	c.push()
@@ -211,11 +224,21 @@
 	})
 }
 
-// endIfDone closes a connection whose reader has stopped and on which nothing is owed.
+// endIfDone ends a connection whose reader has stopped and on which nothing is owed. Closing it while something lies unread in
+// the kernel, or comes as it closes, resets it, and the client's kernel may throw answers away that it has not read. So unless
+// nothing is under way either way, the connection is only shut for writing; it is closed once the client has closed its side, or
+// has had time to. Nothing is read any more: a client whose request is not read sends it once more, elsewhere.
 func (c *client) endIfDone() {
-	if c.read && !c.closed && len(c.slots) == 0 && !c.out.Busy() && len(c.backlog) == 0 {
+	if !c.read || c.closed || c.half || len(c.slots) > 0 || c.out.Busy() || len(c.backlog) > 0 {
+		return
+	}
+	fault := c.d.Tuning().Clients.Fault
+	if c.out.Quiet() && (c.used == c.came || c.d.Now()-c.used > fault) {
 		c.Close()
+		return
 	}
+	c.half = true
+	c.out.Shutdown(fault, c.d, c.Close)
 }
 
 // Close ends a connection, as gateway.Baton tells. What was open on it is over: no one waits for it any more.
--- a/internal/resp/front_test.go
+++ b/internal/resp/front_test.go
@@ -74,8 +74,7 @@
 	}
 	c.Wean()
 	b.Door().Admit(c)
-	r := reader{c: c}
-	go r.run()
+	go newReader(c).run()
 	b.until("the end", func() bool { return c.closed })
 	if got := text(t, far); got != "+PONG\r\n" {
 		t.Errorf("got %q", got)
--- a/internal/resp/rig_test.go
+++ b/internal/resp/rig_test.go
@@ -166,9 +166,12 @@
 }
 
 // asked is a request as it stands on the wire.
-func asked(id string) string {
-	b := redcon.AppendArray(nil, 4)
-	for _, arg := range []string{askName, customer, id, list} {
+func asked(id string) string { return onWire(askName, customer, id, list) }
+
+// onWire is a command as it stands on the wire.
+func onWire(args ...string) string {
+	b := redcon.AppendArray(nil, len(args))
+	for _, arg := range args {
 		b = redcon.AppendBulkString(b, arg)
 	}
 	return string(b)
