Hear discovery that answers in 300 ms, and take no older list; tell where a list is bad

Cause (from reading, forced by tests): after a failure only calls of 250 ms went out, so discovery that takes 300 ms an answer was never heard again, and drains were missed for as long as that lasted. A whole list of an older version than the one held was taken at once, which could tell a server that drains as up. A list of over 8 MiB was cut and reported as broken JSON. Failures after the first were not logged at all, and flapping ones each time.

Change: while discovery fails one patient call of the same question is out beside the short ones (4.5 s); whichever is answered first counts and ends the other. Older lists and changes are errors until three answers in a row say so: then discovery has begun to count anew. Errors name the entry and the size; the log tells another failure once a second and the same one each 30 s, with how many were left out. One id twice in a whole list is an error; among changes it counts in order. The forms of the list have a file of their own.

TestWatchOutlivesSilence moved with its file and plays without the patient call, so that it holds the same exact sequence of calls as before; TestSlowDiscoveryIsHeard holds the patient one.

--- /dev/null
+++ b/internal/gateway/discovery_test.go
@@ -0,0 +1,296 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sloepick/decide"
+)
+
+// A watch that is silent is given up and made again, and the next call goes on from the version last told.
+// Without the bound a gateway would wait for ever on discovery that went down with the call in hand; with a
+// watch instead of short calls it would learn that discovery is back only when that watch is over.
+func TestWatchOutlivesSilence(t *testing.T) {
+	calls := make(chan string, 16)
+	n := 0
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		calls <- req.URL.RawQuery
+		n++ // calls come one after the other
+		switch n {
+		case 1:
+			fmt.Fprint(w, `{"version":41,"full":true,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"up","cell":3,"started_ms":7}]}`)
+		case 2, 5:
+			<-req.Context().Done()
+		case 3:
+			w.WriteHeader(http.StatusInternalServerError)
+		case 4:
+			fmt.Fprint(w, `{"version":43,"full":false,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"odd"}]}`)
+		default:
+			fmt.Fprint(w, `{"version":42,"full":false,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"draining"}]}`)
+		}
+	}))
+	defer web.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	type told struct {
+		kind decide.FleetKind
+		list ServerList
+	}
+	news := make(chan told, 16)
+	w := newWatcher(netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://")), func(kind decide.FleetKind, list ServerList) {
+		select {
+		case news <- told{kind, list}:
+		default: // the last case goes on answering
+		}
+	}, slog.New(slog.DiscardHandler))
+	w.wait, w.over, w.check, w.slow = 10*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond, 0
+	go w.run(ctx)
+	for _, want := range []string{"", "after=41&wait_ms=10", "after=41&wait_ms=0", "after=41&wait_ms=0", "after=41&wait_ms=0",
+		"after=41&wait_ms=0", "after=42&wait_ms=10"} {
+		if got := <-calls; got != want {
+			t.Errorf("call %q, want %q", got, want)
+		}
+	}
+	first, second := <-news, <-news
+	if s := first.list.Servers[0].server(); first.kind != decide.FleetFull || s.State != decide.Serving || s.Started != 7*time.Millisecond || s.Cell != 3 {
+		t.Errorf("first told %+v", first)
+	}
+	if s := second.list.Servers[0].server(); second.kind != decide.FleetDelta || s.State != decide.Draining {
+		t.Errorf("then told %+v", second)
+	}
+}
+
+// lists is a watcher of a discovery that a test answers for, and what it is told.
+type lists struct {
+	*watcher
+	told chan ServerList
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func watch(t *testing.T, answer http.HandlerFunc) *lists {
+	t.Helper()
+	web := httptest.NewServer(answer)
+	l := &lists{told: make(chan ServerList, 64)}
+	l.watcher = newWatcher(netip.MustParseAddrPort(strings.TrimPrefix(web.URL, "http://")), func(_ decide.FleetKind, list ServerList) {
+		l.told <- list
+	}, slog.New(slog.NewTextHandler(l, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		web.CloseClientConnections()
+		web.Close()
+	})
+	l.wait, l.over, l.check, l.slow = 10*time.Millisecond, 10*time.Second, 10*time.Second, 10*time.Second
+	go func() {
+		defer close(ended)
+		l.run(ctx)
+	}()
+	return l
+}
+
+// Write takes what is logged.
+func (l *lists) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lists) logged() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// next is the list that is told next.
+func (l *lists) next(t *testing.T) ServerList {
+	t.Helper()
+	select {
+	case list := <-l.told:
+		return list
+	case <-time.After(20 * time.Second):
+		t.Fatal("no list is told")
+		panic("unreachable")
+	}
+}
+
+func listText(version int, full bool, state string) string {
+	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[{"id":"s","addr":"127.0.0.1:1","state":%q}]}`, version, full, state)
+}
+
+// TestSlowDiscoveryIsHeard: discovery that takes longer than a short call may, for each call, is heard all the same, by the call
+// that is out beside the short ones; and once it answers in time there is one call at a time again.
+func TestSlowDiscoveryIsHeard(t *testing.T) {
+	var out, most atomic.Int32
+	release := make(chan struct{})
+	w := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		most.Store(max(most.Load(), out.Add(1)))
+		defer out.Add(-1)
+		select {
+		case <-release:
+			fmt.Fprint(rw, listText(1, true, "up"))
+		case <-req.Context().Done(): // given up
+		}
+	}))
+	defer w.Close()
+	told := make(chan ServerList, 64)
+	watcher := newWatcher(netip.MustParseAddrPort(strings.TrimPrefix(w.URL, "http://")), func(_ decide.FleetKind, list ServerList) { told <- list },
+		slog.New(slog.DiscardHandler))
+	watcher.check, watcher.slow = time.Millisecond, time.Minute
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	first, err := watcher.next(ctx)
+	if err == nil || first.Full {
+		t.Fatalf("a call that takes too long gave %+v", first)
+	}
+	watcher.failing = true
+	for range 5 {
+		if _, err := watcher.next(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("a short call ended as %v", err)
+		}
+	}
+	patient := watcher.patient
+	if patient == nil {
+		t.Fatal("no call is patient")
+	}
+	close(release)
+	<-patient.ended
+	for range 100 { // a short call may end by its time in the same moment
+		list, err := watcher.next(ctx)
+		if err == nil && list.Full {
+			break
+		}
+	}
+	if watcher.patient == patient {
+		t.Error("the patient call's answer was not taken")
+	}
+	watcher.endPatient()
+	if most.Load() > 3 { // two, and one that is just given up
+		t.Errorf("%d calls at once", most.Load())
+	}
+}
+
+// TestBadListsKeepTheLastGood: whatever discovery says that is no list, or not a newer one, is an error in the log that tells where,
+// and the next good list counts.
+func TestBadListsKeepTheLastGood(t *testing.T) {
+	for name, tc := range map[string]struct{ body, logged string }{
+		"garbled":             {"{", "reading the list of 1 bytes"},
+		"cut off":             {listText(2, true, "up")[:40], "reading the list of 40 bytes"},
+		"too long":            {strings.Repeat(" ", listMost+1), "over 8388608 bytes"},
+		"unknown state":       {listText(2, true, "odd"), `servers[0]: server \"s\": unknown state \"odd\"`},
+		"bad address":         {strings.Replace(listText(2, true, "up"), "127.0.0.1:1", "nowhere", 1), `servers[0]: server \"s\"`},
+		"no id":               {strings.Replace(listText(2, true, "up"), `"id":"s"`, `"id":""`, 1), "servers[0] has no id"},
+		"one id twice":        {strings.Replace(listText(2, true, "up"), "[{", `[{"id":"s","addr":"127.0.0.1:2","state":"up"},{`, 1), `servers[0] and servers[1] have the same id \"s\"`},
+		"older changes":       {listText(0, false, "draining"), "changes of version 0, older than version 1"},
+		"an older whole list": {listText(0, true, "draining"), "a whole list of version 0, older than version 1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var n atomic.Int32
+			l := watch(t, func(rw http.ResponseWriter, req *http.Request) {
+				switch n.Add(1) {
+				case 1:
+					fmt.Fprint(rw, listText(1, true, "up"))
+				case 2:
+					fmt.Fprint(rw, tc.body)
+				default:
+					fmt.Fprint(rw, listText(3, false, "draining"))
+				}
+			})
+			if got := l.next(t); got.Version != 1 {
+				t.Errorf("first told %+v", got)
+			}
+			if got := l.next(t); got.Version != 3 {
+				t.Errorf("then told %+v", got)
+			}
+			if !strings.Contains(l.logged(), tc.logged) {
+				t.Errorf("logged %q, want %q", l.logged(), tc.logged)
+			}
+		})
+	}
+}
+
+// TestIndentedListsAreRead: lists may come indented.
+func TestIndentedListsAreRead(t *testing.T) {
+	l := watch(t, func(rw http.ResponseWriter, req *http.Request) {
+		e := json.NewEncoder(rw)
+		e.SetIndent("\t", "  ")
+		if err := e.Encode(json.RawMessage(listText(7, true, "up"))); err != nil {
+			t.Error(err)
+		}
+	})
+	if got := l.next(t); got.Version != 7 || len(got.Servers) != 1 {
+		t.Errorf("told %+v", got)
+	}
+}
+
+// TestDiscoveryCountsAnew: discovery that has lost its count says older whole lists only, or older changes. After some in a row it
+// is believed.
+func TestDiscoveryCountsAnew(t *testing.T) {
+	for name, full := range map[string]bool{"whole lists": true, "changes": false} {
+		t.Run(name, func(t *testing.T) {
+			var n atomic.Int32
+			l := watch(t, func(rw http.ResponseWriter, req *http.Request) {
+				if n.Add(1) == 1 {
+					fmt.Fprint(rw, listText(41, true, "up"))
+					return
+				}
+				fmt.Fprint(rw, listText(2, full || req.URL.RawQuery == "", "draining"))
+			})
+			l.next(t)
+			if got := l.next(t); got.Version != 2 || !got.Full || n.Load() <= olderMost {
+				t.Errorf("told %+v after %d calls", got, n.Load())
+			}
+		})
+	}
+}
+
+// TestChangesOfOneServerCountInOrder: among changes a server may stand twice.
+func TestChangesOfOneServerCountInOrder(t *testing.T) {
+	l := ServerList{Servers: []ServerEntry{{ID: "s", Addr: "127.0.0.1:1", State: "draining"}, {ID: "s", State: "removed"}}}
+	if err := l.check(); err != nil {
+		t.Error(err)
+	}
+	if l.Full = true; l.check() == nil {
+		t.Error("a whole list with one server twice passes")
+	}
+}
+
+// TestFailureLog: failures that come again and again are counted, not told.
+func TestFailureLog(t *testing.T) {
+	var out strings.Builder
+	f := failureLog{log: slog.New(slog.NewTextHandler(&out, nil))}
+	for range 1000 {
+		f.warn("failing", errors.New("same"))
+		f.warn("failing", errors.New("other"))
+	}
+	if n := strings.Count(out.String(), "\n"); n != 1 {
+		t.Errorf("%d lines", n)
+	}
+	f.at = f.at.Add(-nextFailure)
+	f.warn("failing", errors.New("same"))
+	if n := strings.Count(out.String(), "\n"); n != 1 {
+		t.Errorf("the same failure is told again after %v", nextFailure)
+	}
+	f.warn("failing", errors.New("other"))
+	if !strings.Contains(out.String(), "err=other untold=2000") {
+		t.Errorf("another failure is not told: %s", out.String())
+	}
+	f.at = f.at.Add(-sameFailure)
+	f.warn("failing", errors.New("other"))
+	if n := strings.Count(out.String(), "\n"); n != 3 {
+		t.Errorf("the same failure is not told after %v", sameFailure)
+	}
+}
--- /dev/null
+++ b/internal/gateway/serverlist.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"sloepick/decide"
+)
+
+// ServerList is discovery's form of a list of servers.
+type ServerList struct {
+	Version uint64        `json:"version"`
+	Full    bool          `json:"full"`
+	Servers []ServerEntry `json:"servers"`
+}
+
+// ServerEntry is a server as discovery tells it.
+type ServerEntry struct {
+	ID        string  `json:"id"`
+	Addr      string  `json:"addr"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"kind"`
+	Cell      int     `json:"cell"`
+	State     string  `json:"state"`
+	Weight    float64 `json:"weight"`
+	StartedMS int64   `json:"started_ms"`
+}
+
+func (e *ServerEntry) state() (decide.State, error) {
+	switch e.State {
+	case "up":
+		return decide.Serving, nil
+	case "draining":
+		return decide.Draining, nil
+	case "removed":
+		return decide.Gone, nil
+	}
+	return decide.Gone, fmt.Errorf("server %q: unknown state %q", e.ID, e.State)
+}
+
+// check reports the first entry that can't be used. A list is taken whole or not at all. Among changes a server may come more
+// than once: they count in their order.
+func (l *ServerList) check() error {
+	first := make(map[string]int, len(l.Servers))
+	for i := range l.Servers {
+		e := &l.Servers[i]
+		if e.ID == "" {
+			return fmt.Errorf("servers[%d] has no id", i)
+		}
+		if at, twice := first[e.ID]; twice && l.Full {
+			return fmt.Errorf("servers[%d] and servers[%d] have the same id %q", at, i, e.ID)
+		}
+		first[e.ID] = i
+		state, err := e.state()
+		if err != nil {
+			return fmt.Errorf("servers[%d]: %w", i, err)
+		}
+		if _, err := netip.ParseAddrPort(e.Addr); err != nil && state != decide.Gone {
+			return fmt.Errorf("servers[%d]: server %q: %w", i, e.ID, err)
+		}
+	}
+	return nil
+}
+
+// server is the entry in the module's words. The loop's clock counts from the Unix epoch, as start times do.
+func (e *ServerEntry) server() decide.Server {
+	state, err := e.state()
+	if err != nil {
+		state = decide.Gone // unreachable for a checked list
+	}
+	return decide.Server{ID: e.ID, Zone: e.Zone, Cell: e.Cell, Kind: e.Kind, State: state,
+		Started: time.Duration(e.StartedMS) * time.Millisecond, Weight: e.Weight}
+}
