Take the connections that wait in the accept queue when a gateway stops

Cause (from reading, forced by a test): 0.5 s after SIGTERM the listener was closed with whatever the kernel had accepted and the gateway had not, which resets those connections and the requests that their clients have sent. No more than 16 are taken ahead of the loop, so a crowd fills that queue.

Change: a front finishes instead: it accepts until none has come for 5 ms, for `last-call` at most, and closes then; the gateway has not ended while a front still accepts. Failing accepts are logged once a second at most. The listener has a file of its own.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
 	"net"
 	"time"
@@ -13,10 +11,12 @@
 )
 
 // Front takes clients in by a protocol of its own. Listen comes first, in the goroutine of the start; Serve takes
-// connections, in one of its own, until the front is closed; Close may come more than once, from any goroutine.
+// connections, in one of its own, until the front has finished or is closed; Finish and Close may come more than once, from any
+// goroutine.
 type Front interface {
 	Listen(ctx context.Context) error
 	Serve(ctx context.Context, d *Door)
+	Finish(by time.Time) // takes the connections that wait to be accepted, until that time at most, and closes
 	Close() error
 }
 
@@ -45,29 +45,19 @@
 // Post lets the loop call a function. It waits while the loop's inbox is full.
 func (d *Door) Post(f func()) { d.l.in.post(f) }
 
-// Accept takes connections until the listener is closed or the context ends, and lets the loop call take for each. Only so many
-// are taken ahead of the loop, which bounds the descriptors: hundreds that come at once wait in the kernel.
-func (d *Door) Accept(ctx context.Context, ln net.Listener, take func(net.Conn)) {
-	for {
-		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			d.l.log.Warn("accepting a connection", "err", err)
-			sleep(ctx, 10*time.Millisecond) // out of descriptors: some may be free then
-			continue
-		}
-		select {
-		case d.l.ahead <- struct{}{}:
-			d.l.in.post(func() {
-				<-d.l.ahead
-				take(conn)
-			})
-		case <-ctx.Done():
-			conn.Close()
-			return
-		}
+// taken lets the loop take a connection that was accepted. Only so many are accepted ahead of the loop, which bounds the
+// descriptors: hundreds that come at once wait in the kernel. It reports false once the context has ended.
+func (d *Door) taken(ctx context.Context, conn net.Conn, take func(net.Conn)) bool {
+	select {
+	case d.l.ahead <- struct{}{}:
+		d.l.in.post(func() {
+			<-d.l.ahead
+			take(conn)
+		})
+		return true
+	case <-ctx.Done():
+		conn.Close()
+		return false
 	}
 }
 
@@ -149,52 +139,3 @@
 		quiet.Wean()
 	}
 }
-
-// Listener is a front's socket, for fronts to embed.
-type Listener struct {
-	name  string // in errors
-	addr  string
-	ln    net.Listener
-	ready chan struct{} // closed when ln is there
-}
-
-// NewListener makes one that does not listen yet. The name stands in its errors.
-func NewListener(name, addr string) Listener {
-	return Listener{name: name, addr: addr, ready: make(chan struct{})}
-}
-
-// Give has it use a socket that listens already.
-func (s *Listener) Give(ln net.Listener) { s.ln = ln }
-
-// Listen opens it, unless it was given.
-func (s *Listener) Listen(ctx context.Context) (err error) {
-	if s.ln != nil {
-		close(s.ready)
-		return nil
-	}
-	var lc net.ListenConfig
-	if s.ln, err = lc.Listen(ctx, "tcp", s.addr); err != nil {
-		return fmt.Errorf("%s: %w", s.name, err)
-	}
-	close(s.ready)
-	return nil
-}
-
-// Addr is where it listens. It waits until it does.
-func (s *Listener) Addr() net.Addr {
-	<-s.ready
-	return s.ln.Addr()
-}
-
-// Accept takes connections as Door.Accept does.
-func (s *Listener) Accept(ctx context.Context, d *Door, take func(net.Conn)) {
-	d.Accept(ctx, s.ln, take)
-}
-
-// Close ends it. One that is closed already stays so.
-func (s *Listener) Close() error {
-	if err := s.ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		return fmt.Errorf("%s: %w", s.name, err)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/gateway/listener_test.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestAcceptQueueAtTheEnd: connections that the kernel has accepted, and that wait in the listener's queue when it finishes, are
+// taken; then the listener closes.
+func TestAcceptQueueAtTheEnd(t *testing.T) {
+	const waiting = 100 // more than are taken ahead of the loop
+	l, _ := still(t, 0)
+	s := NewListener("test", "127.0.0.1:0")
+	if err := s.Listen(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for range waiting {
+		c, err := net.Dial("tcp", s.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	s.Finish(time.Now().Add(time.Minute))
+	taken, ended := 0, make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Accept(t.Context(), l.door, func(c net.Conn) {
+			taken++
+			c.Close()
+		})
+	}()
+	for going := true; going; {
+		select {
+		case <-l.in.ready:
+		case <-ended:
+			going = false
+		}
+		l.taken()
+	}
+	if taken != waiting {
+		t.Errorf("%d of %d connections were taken", taken, waiting)
+	}
+	if c, err := net.Dial("tcp", s.Addr().String()); err == nil {
+		c.Close()
+		t.Error("it still listens")
+	}
+}
+
+// TestFinishWakesAccept: a listener at which nobody waits closes at once.
+func TestFinishWakesAccept(t *testing.T) {
+	l, _ := still(t, 0)
+	s := NewListener("test", "127.0.0.1:0")
+	if err := s.Listen(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Accept(t.Context(), l.door, func(net.Conn) {})
+	}()
+	s.Finish(time.Now().Add(time.Minute))
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Fatal("it waits for a connection")
+	}
+}
+
+// TestFinishHasAnEnd: connections that come without end don't keep a listener open past its time.
+func TestFinishHasAnEnd(t *testing.T) {
+	s := NewListener("test", "127.0.0.1:0")
+	if err := s.Listen(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	s.Finish(time.Now().Add(-time.Second))
+	if s.allowOneMore() {
+		t.Error("it goes on")
+	}
+}
+
+// lateFront is a front that takes its last connection once it is told to finish.
+type lateFront struct {
+	finish chan struct{}
+	conn   net.Conn
+	taken  atomic.Bool
+}
+
+func (f *lateFront) Listen(context.Context) error { return nil }
+func (f *lateFront) Finish(time.Time)             { close(f.finish) }
+func (f *lateFront) Close() error                 { return nil }
+func (f *lateFront) Serve(ctx context.Context, d *Door) {
+	<-f.finish
+	time.Sleep(10 * time.Millisecond) // as long as the loop takes to see that no client is left
+	d.taken(ctx, f.conn, func(c net.Conn) {
+		f.taken.Store(true)
+		c.Close()
+	})
+}
+
+// TestStopWaitsForTheLastAccept: a gateway without clients does not end while a front still takes what waits at its listener.
+func TestStopWaitsForTheLastAccept(t *testing.T) {
+	near, far := connectedPair(t)
+	f := &lateFront{finish: make(chan struct{}), conn: near}
+	cfg := SmallConfig(t, long, nil)
+	cfg.Fronts, cfg.Back = []Front{f}, &wire{}
+	cfg.Tuning.Stop.Accept = 0
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := Run(ctx, cfg, nil, slog.New(slog.DiscardHandler)); err != nil {
+		t.Fatal(err)
+	}
+	if !f.taken.Load() {
+		t.Error("a connection that was accepted is lost")
+	}
+	if _, err := io.ReadAll(far); err != nil {
+		t.Errorf("the client got %v", err)
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -19,34 +19,36 @@
 
 // loop owns the decision module and all that changes. Only its own goroutine touches it.
 type loop struct {
-	cfg      Config
-	log      *slog.Logger
-	clock    Clock
-	door     *Door
-	core     *decide.Gateway
-	in       *inbox
-	peers    Peers // nil where messages are not allowed
-	alarms   alarms
-	todo     []decide.Event
-	requests map[string]*request
-	ids      map[string]struct{} // of the requests that are owed an answer, as their clients named them
-	nextID   uint64
-	pool     pool
-	clients  map[Conn]uint64 // by when they came
-	joined   uint64
-	tune     *atomic.Pointer[tuning.Tuning] // stored by the loop, read by the goroutines of connections too
-	routes   *route.Table                   // nil: none
-	ahead    chan struct{}                  // holds one for each connection that was taken and is not counted yet
-	held     int                            // bytes of the commands of open requests
-	batch    []func()                       // of the inbox, as it was taken last
-	after    []func()                       // to be done once the turn's events are handled
-	closed   chan struct{}                  // closed when nothing new is taken
-	closing  bool
-	place    place // in a fleet
-	rank     int   // that the module goes by
-	restarts int
-	tap      func(decide.Event, []decide.Action) // nil: none
-	power    *power                              // nil: off
+	cfg            Config
+	log            *slog.Logger
+	clock          Clock
+	door           *Door
+	core           *decide.Gateway
+	in             *inbox
+	peers          Peers // nil where messages are not allowed
+	alarms         alarms
+	todo           []decide.Event
+	requests       map[string]*request
+	ids            map[string]struct{} // of the requests that are owed an answer, as their clients named them
+	nextID         uint64
+	pool           pool
+	clients        map[Conn]uint64 // by when they came
+	joined         uint64
+	tune           *atomic.Pointer[tuning.Tuning] // stored by the loop, read by the goroutines of connections too
+	routes         *route.Table                   // nil: none
+	ahead          chan struct{}                  // holds one for each connection that was taken and is not counted yet
+	fronts         int                            // that still accept
+	acceptFailures *failureLog
+	held           int           // bytes of the commands of open requests
+	batch          []func()      // of the inbox, as it was taken last
+	after          []func()      // to be done once the turn's events are handled
+	closed         chan struct{} // closed when nothing new is taken
+	closing        bool
+	place          place // in a fleet
+	rank           int   // that the module goes by
+	restarts       int
+	tap            func(decide.Event, []decide.Action) // nil: none
+	power          *power                              // nil: off
 }
 
 const (
@@ -64,6 +66,7 @@
 	l.door, l.rank, l.place.number = &Door{l}, cfg.Settings.Decide.Rank, -1
 	l.tune.Store(&cfg.Tuning)
 	l.ahead = make(chan struct{}, cfg.Tuning.Clients.AcceptAhead)
+	l.acceptFailures = &failureLog{log: log}
 	l.pool = newPool(l, cfg)
 	l.reroute(cfg.Routes)
 	if err := l.startCore(); err != nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -68,7 +68,11 @@
 	wg.Go(func() { takeReloads(inner, reloads, moves, l) })
 	wg.Go(func() { follow(inner, cfg.Discovery, moves, l.news, log) })
 	for _, f := range cfg.Fronts {
-		wg.Go(func() { f.Serve(inner, l.door) })
+		l.fronts++
+		wg.Go(func() {
+			f.Serve(inner, l.door)
+			l.in.post(func() { l.fronts-- }) // behind the connections that it took
+		})
 	}
 	if cfg.Member == nil {
 		l.in.post(l.readyOnce)
@@ -145,8 +149,8 @@
 	l.log.Info("stopping", "open", len(l.requests))
 	t := l.tune.Load().Stop
 	l.at(now+t.Accept, func() {
-		if err := l.closeFronts(); err != nil {
-			l.log.Warn("closing a listener", "err", err)
+		for _, f := range l.cfg.Fronts {
+			f.Finish(time.Now().Add(t.LastCall))
 		}
 		l.closing = true
 		close(l.closed)
@@ -178,5 +182,5 @@
 	return longest
 }
 
-// finished reports that the gateway is stopping and owes nothing.
-func (l *loop) finished() bool { return l.closing && len(l.clients) == 0 }
+// finished reports that the gateway is stopping and owes nothing: no client is left, and none waits to be accepted.
+func (l *loop) finished() bool { return l.closing && len(l.clients) == 0 && l.fronts == 0 }
