--- a/internal/gateway/listener_test.go
+++ b/internal/gateway/listener_test.go
@@ -13,6 +13,11 @@
 // TestAcceptQueueAtTheEnd: connections that the kernel has accepted, and that wait in the listener's queue when it finishes, are
 // taken; then the listener closes.
 func TestAcceptQueueAtTheEnd(t *testing.T) {
+	t.Run("before it accepts", func(t *testing.T) { acceptQueueAtTheEnd(t, false) })
+	t.Run("as it accepts", func(t *testing.T) { acceptQueueAtTheEnd(t, true) })
+}
+
+func acceptQueueAtTheEnd(t *testing.T, woken bool) {
 	const waiting = 100 // more than are taken ahead of the loop
 	l, _ := still(t, 0)
 	s := NewListener("test", "127.0.0.1:0")
@@ -27,7 +32,13 @@
 		}
 		defer c.Close()
 	}
-	s.Finish(time.Now().Add(time.Minute))
+	if woken { // as by Finish, in the moment after Accept has looked whether to finish
+		if err := s.ln.(*net.TCPListener).SetDeadline(time.Unix(1, 0)); err != nil {
+			t.Fatal(err)
+		}
+	} else {
+		s.Finish(time.Now().Add(time.Minute))
+	}
 	taken, ended := 0, make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -36,6 +47,14 @@
 			c.Close()
 		})
 	}()
+	if woken {
+		select {
+		case <-ended:
+			t.Fatal("it ended with connections in its queue")
+		case <-time.After(20 * time.Millisecond):
+		}
+		s.Finish(time.Now().Add(time.Minute))
+	}
 	for going := true; going; {
 		select {
 		case <-l.in.ready:
@@ -65,6 +84,7 @@
 		defer close(ended)
 		s.Accept(t.Context(), l.door, func(net.Conn) {})
 	}()
+	time.Sleep(20 * time.Millisecond) // it waits by then; if it comes later, it has nothing to wake from
 	s.Finish(time.Now().Add(time.Minute))
 	select {
 	case <-ended:
