--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -22,7 +22,6 @@
 	used     float64
 	refused  int
 	inFlight map[string]float64
-	answers  []AttemptEnded
 	loss     float64
 	lossAt   map[int]float64 // of what comes to a gateway that takes in too little
 	down     map[int]bool
@@ -31,10 +30,9 @@
 }
 
 type letter struct {
-	at    time.Duration
-	to    int
-	ev    Event
-	drops bool
+	at time.Duration
+	to int
+	ev Event
 }
 
 func join(t *testing.T, n int, edit func(*Config)) *joined {
--- a/internal/commons/commons.go
+++ b/internal/commons/commons.go
@@ -102,7 +102,6 @@
 // Table is what one member knows. Make it with New. It is not safe for concurrent use.
 type Table struct {
 	cfg     Config
-	now     time.Duration
 	no      uint64
 	authors []*author // in the order of their names
 	cursor  string    // the next question begins at this name
--- a/internal/daemon/power_test.go
+++ b/internal/daemon/power_test.go
@@ -345,9 +345,7 @@
 					case 2:
 						b.Replace(i, b.Disk((i+1)%n))
 					case 3:
-						if b.Replace(i, old); i != 0 {
-							break // another's, in its former life
-						}
+						b.Replace(i, old) // of the others: another's, in its former life
 					case 4:
 						b.Clock[i] = -time.Duration(rnd.IntN(3600)) * time.Second
 						name += fmt.Sprintf(" g%d's clock %v", i, b.Clock[i])
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -121,6 +121,9 @@
 	if c.Settings, err = settings.Parse(f.Settings); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
+	if err := c.Settings.CheckServing(); err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
 	if err := c.Settings.Decide.Validate(); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
--- a/internal/gateway/told_test.go
+++ b/internal/gateway/told_test.go
@@ -115,7 +115,7 @@
 		`"peer_listen":"127.0.0.1:7946"|"peer_listen":"x"`: "peer_listen",
 		`"settings":SETTINGS|"x":1`:                        "settings",
 		`SETTINGS|{"Classes":3}`:                           "Classes",
-		`SETTINGS|{}`:                                      "Gateways is 0",
+		`SETTINGS|{}`:                                      "Classes is empty",
 	} {
 		from, to, _ := strings.Cut(edit, "|")
 		if _, err := load(strings.Replace(sample, from, to, 1)); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
--- a/internal/h2/back_test.go
+++ b/internal/h2/back_test.go
@@ -84,8 +84,11 @@
 				if a.Status != 200 {
 					t.Errorf("got %+v", a)
 				}
-				if len(came) != 2 || <-came == <-came {
-					t.Errorf("it came %d times, or to one node twice", len(came))
+				if len(came) != 2 {
+					t.Fatalf("it came %d times", len(came))
+				}
+				if first, second := <-came, <-came; first == second {
+					t.Error("it came to one node twice")
 				}
 				r.ran("b", 1)
 				return
--- a/internal/owner/check_test.go
+++ b/internal/owner/check_test.go
@@ -170,12 +170,11 @@
 					tell, ok := a.(Tell)
 					next = next || !ok
 					if ok && tell.To != first {
-						from := i
 						if tell.Msg.Kind == Grant || tell.Msg.Kind == Deny {
-							from, net = tell.To, append(net, w.members[i].t.Handle(at(i), Heard{From: tell.To, Msg: tell.Msg})...)
+							net = append(net, w.members[i].t.Handle(at(i), Heard{From: tell.To, Msg: tell.Msg})...)
 							continue
 						}
-						for _, back := range w.members[tell.To].t.Handle(at(tell.To), Heard{From: from, Msg: tell.Msg}) {
+						for _, back := range w.members[tell.To].t.Handle(at(tell.To), Heard{From: i, Msg: tell.Msg}) {
 							if b, ok := back.(Tell); ok {
 								net = append(net, Tell{tell.To, b.Msg})
 							}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -233,8 +233,10 @@
 
 func TestOpenIsBounded(t *testing.T) {
 	table := NewTable([]*Route{{Name: "r", Open: 2}}, platform())
-	if !table.Begin(0) || !table.Begin(0) || table.Begin(0) {
-		t.Error("not two are taken")
+	for n, want := range []bool{true, true, false} {
+		if table.Begin(0) != want {
+			t.Errorf("request %d: taken is not %v", n+1, want)
+		}
 	}
 	if table.End(0); !table.Begin(0) {
 		t.Error("a place that was given back is not taken")
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,104 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+)
+
+// field is a setting by its name in the settings object, and its value.
+type field struct {
+	name  string
+	value float64
+}
+
+// check reports the first setting that no host of the decision module can work with, in the settings' own words.
+func (s *wire) check() error {
+	for _, f := range s.figures() {
+		if f.value < 0 || math.IsInf(f.value, 0) || math.IsNaN(f.value) {
+			return fmt.Errorf("%s is %v, want 0 or more", f.name, f.value)
+		}
+	}
+	return s.checkNames()
+}
+
+// figures are all settings that can't be negative.
+func (s *wire) figures() []field {
+	all := []field{
+		{"Extra.CounterPrice", s.Extra.CounterPrice}, {"Extra.PeerIntake", s.Extra.PeerIntake}, {"Extra.UnitsTop", s.Extra.UnitsTop},
+		{"Extra.CountWaitNs", float64(s.Extra.CountWaitNs)}, {"Extra.MeterNs", float64(s.Extra.MeterNs)},
+		{"Limits.SendCap", float64(s.Limits.SendCap)}, {"Limits.MaxRetryAfterNs", float64(s.Limits.MaxRetryAfterNs)},
+		{"Limits.ConnectTimeoutNs", float64(s.Limits.ConnectTimeoutNs)}, {"Limits.ConnIdleNs", float64(s.Limits.ConnIdleNs)},
+		{"Limits.OpenCap", float64(s.Limits.OpenCap)},
+		{"Safety.AnswerSlackNs", float64(s.Safety.AnswerSlackNs)}, {"Safety.DrainGraceNs", float64(s.Safety.DrainGraceNs)},
+		{"Safety.ColdNs", float64(s.Safety.ColdNs)}, {"Safety.FallNs", float64(s.Safety.FallNs)},
+		{"Safety.AskWithinNs", float64(s.Safety.AskWithinNs)},
+		{"Safety.ColdFrom", s.Safety.ColdFrom}, {"Safety.FallMultiple", s.Safety.FallMultiple},
+		{"Prices.CrossZone", s.Prices.CrossZone}, {"Prices.Waste", s.Prices.Waste}, {"Prices.Probe", s.Prices.Probe},
+		{"Prices.Peer", s.Prices.Peer}, {"Prices.LateFail", s.Prices.LateFail},
+	}
+	for i, k := range s.Classes {
+		at := fmt.Sprintf("Classes[%d].", i)
+		all = append(all, field{at + "AimNs", float64(k.AimNs)}, field{at + "GiveUpNs", float64(k.GiveUpNs)}, field{at + "WindowNs", float64(k.WindowNs)},
+			field{at + "AimStretch", k.AimStretch}, field{at + "Importance", k.Importance}, field{at + "LateWorth", k.LateWorth})
+	}
+	for i, p := range s.TiersOfService {
+		at := fmt.Sprintf("TiersOfService[%d].", i)
+		all = append(all, field{at + "Refill", p.Refill}, field{at + "MostAtOnce", p.MostAtOnce}, field{at + "NeverOverRate", p.NeverOverRate},
+			field{at + "NeverOverDepth", p.NeverOverDepth}, field{at + "HardSlack", p.HardSlack}, field{at + "Parallel", float64(p.Parallel)},
+			field{at + "Pays", p.Pays}, field{at + "BeyondEarns", p.BeyondEarns}, field{at + "ExcessCost", p.ExcessCost})
+	}
+	return all
+}
+
+// checkNames reports names that are missing or stand twice: a request names its class and its plan by them.
+func (s *wire) checkNames() error {
+	classes, plans := map[string]int{}, map[string]int{}
+	for i, k := range s.Classes {
+		if err := newName("Classes", k.Name, i, classes); err != nil {
+			return err
+		}
+	}
+	for i, p := range s.TiersOfService {
+		if err := newName("TiersOfService", p.Name, i, plans); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newName(list, name string, i int, seen map[string]int) error {
+	if name == "" {
+		return fmt.Errorf("%s[%d].Name is empty", list, i)
+	}
+	if first, twice := seen[name]; twice {
+		return fmt.Errorf("%s[%d].Name is %q, as that of %s[%d]", list, i, name, list, first)
+	}
+	seen[name] = i
+	return nil
+}
+
+// CheckServing reports the first setting that a gateway on sockets can't serve by. The simulator makes connections itself and
+// may leave these out.
+func (s *Settings) CheckServing() error {
+	d := &s.Decide
+	if len(d.Classes) == 0 {
+		return errors.New("no classes: Classes is empty, want one or more")
+	}
+	if len(d.Plans) == 0 {
+		return errors.New("no plans: TiersOfService is empty, want one or more")
+	}
+	for i, k := range d.Classes {
+		if k.Aim <= 0 {
+			return fmt.Errorf("Classes[%d].AimNs is %d, want more than 0", i, k.Aim)
+		}
+	}
+	if d.Limits.MaxAttempts < 1 {
+		return fmt.Errorf("Limits.SendCap is %d, want 1 or more", d.Limits.MaxAttempts)
+	}
+	if d.Limits.ConnectTimeout < time.Millisecond {
+		return fmt.Errorf("Limits.ConnectTimeoutNs is %d, want a millisecond or more", d.Limits.ConnectTimeout)
+	}
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,6 +71,9 @@
 	if err := json.Unmarshal(raw, &s); err != nil {
 		return Settings{}, FieldOf(err)
 	}
+	if err := s.check(); err != nil {
+		return Settings{}, err
+	}
 	c, err := s.config()
 	return Settings{Decide: c, ConnIdle: time.Duration(s.Limits.ConnIdleNs), OpenCap: s.Limits.OpenCap}, err
 }
--- a/internal/world/fleet_test.go
+++ b/internal/world/fleet_test.go
@@ -34,7 +34,6 @@
 	using map[int][]*Member // by place
 	both  map[int]time.Duration
 	worst time.Duration // for which a place was used by two
-	sides func(from, to int) bool
 }
 
 func newTrial(t *testing.T, seed uint64, n int) *trial {
