--- /dev/null
+++ b/decide/crossing_test.go
@@ -0,0 +1,166 @@
+package decide
+
+import (
+	"testing"
+	"time"
+)
+
+// The tests here force one order of two events that can cross in the module. docs/design/crossings.md lists them.
+
+// fire rings the timers among the actions, at the time of the latest, and returns what follows.
+func (r *rig) fire(acts []Action) (out []Action) {
+	timers := find[SetTimer](acts)
+	for _, t := range timers {
+		r.now = max(r.now, t.At)
+	}
+	for _, t := range timers {
+		out = append(out, r.do(TimerFired{t.Token})...)
+	}
+	return out
+}
+
+// waiting is a request whose first attempt failed and whose next one waits.
+func waiting(t *testing.T, deadline time.Duration) (r *rig, id string, timers []Action) {
+	t.Helper()
+	r = newRig(t, nil, Server{ID: "s1", Zone: "a"})
+	id = "q"
+	bounds := &Bounds{Attempts: 3, Wait: 500 * ms, Again: OutcomeSet(Error)}
+	sent := find[Send](r.do(Request{ID: id, Class: "get", Plan: "wide", Customer: "c", Units: 1, Spread: 3, Deadline: r.now + deadline, Bounds: bounds}))
+	if len(sent) != 1 {
+		t.Fatal("the request is not sent")
+	}
+	r.now += 10 * ms
+	timers = r.end(id, 0, "s1", Error)
+	if len(find[SetTimer](timers)) == 0 || len(find[Send](timers)) != 0 {
+		t.Fatalf("after the failure: %+v", timers)
+	}
+	return r, id, timers
+}
+
+// TestRetryTimerAfter: what happened while a further attempt waited for its timer counts when the timer fires.
+func TestRetryTimerAfter(t *testing.T) {
+	for name, x := range map[string]struct {
+		meanwhile Event
+		sends     int
+	}{
+		"nothing":                  {nil, 1},
+		"the client's end":         {ClientGone{"q"}, 0},
+		"its server's drain":       {FleetUpdate{Kind: FleetDelta, Servers: []Server{{ID: "s1", Zone: "a", State: Draining}}}, 0},
+		"a list without it":        {FleetUpdate{Kind: FleetFull, Servers: []Server{}}, 0},
+		"its server's replacement": {FleetUpdate{Kind: FleetFull, Servers: []Server{{ID: "s2", Zone: "a"}}}, 1},
+	} {
+		r, id, timers := waiting(t, 2*time.Second)
+		ended := 0
+		if x.meanwhile != nil {
+			acts := r.do(x.meanwhile)
+			ended += len(find[Refuse](acts)) + len(find[Fail](acts))
+		}
+		acts := r.fire(timers)
+		sent := find[Send](acts)
+		if len(sent) != x.sends {
+			t.Errorf("%s: %d attempts", name, len(sent))
+		}
+		for _, s := range sent {
+			if s.ID != id || name != "nothing" && s.Server == "s1" {
+				t.Errorf("%s: sent %+v", name, s)
+			}
+		}
+		if ended += len(find[Refuse](acts)) + len(find[Fail](acts)); x.sends == 0 && name != "the client's end" && ended != 1 {
+			t.Errorf("%s: %d final answers", name, ended)
+		}
+	}
+}
+
+// TestRetryTimerAfterTheDeadline: a timer that comes late, behind the request's time, sends nothing.
+func TestRetryTimerAfterTheDeadline(t *testing.T) {
+	r, _, timers := waiting(t, 2*time.Second)
+	r.now += 2 * time.Second
+	acts := r.fire(timers)
+	if len(find[Send](acts)) != 0 || len(find[Refuse](acts))+len(find[Fail](acts)) != 1 {
+		t.Errorf("behind the deadline: %+v", acts)
+	}
+}
+
+// TestClientLeavesWhileItsHomeIsAsked: the home's word comes after the client has left, and sends nothing.
+func TestClientLeavesWhileItsHomeIsAsked(t *testing.T) {
+	for name, leaves := range map[string]bool{"stays": false, "leaves": true} {
+		j := join(t, 60, func(cfg *Config) { cfg.PeerIntake = 10 })
+		j.loss = 0
+		asked, sent := 0, 0
+		j.watch = func(_ int, acts []Action) {
+			for _, s := range find[Send](acts) {
+				if s.ID[0] == 'w' {
+					sent++
+				}
+			}
+		}
+		for i := range 20 { // some of these gateways are the customer's homes, and ask nobody
+			id := string([]byte{'w', byte('a' + i)})
+			before := sent
+			j.handle(i, Request{ID: id, Class: "get", Plan: "wide", Customer: "x", Units: 1, Deadline: j.now + time.Second, Spread: 60})
+			if sent > before {
+				sent--
+				continue
+			}
+			asked++
+			if leaves {
+				j.handle(i, ClientGone{ID: id})
+			}
+			j.pass(100 * ms)
+		}
+		if asked < 10 {
+			t.Fatalf("%d of 20 asked a home: the test shows nothing", asked)
+		}
+		if want := map[bool]int{false: asked, true: 0}[leaves]; sent != want {
+			t.Errorf("%s: %d of %d were sent on", name, sent, asked)
+		}
+	}
+}
+
+// TestRepeatIsToldItsTime: a further attempt of a keyed request that may have run tells by when it must be written, by the first
+// of the windows; others tell no time.
+func TestRepeatIsToldItsTime(t *testing.T) {
+	r := newRig(t, nil)
+	began := r.now
+	id, first := r.send("put", "wide")
+	if first.WriteBy != 0 {
+		t.Errorf("the first attempt must be written by %v", first.WriteBy)
+	}
+	r.now += 100 * ms
+	second := find[Send](r.end(id, 0, first.Server, Reset))
+	if len(second) != 1 || second[0].WriteBy != began+2*time.Second-aimMargin {
+		t.Fatalf("after one that may have run: %+v", second)
+	}
+	r.now += 100 * ms
+	third := find[Send](r.end(id, 1, second[0].Server, Reset))
+	if len(third) != 1 || third[0].WriteBy != second[0].WriteBy {
+		t.Errorf("after two that may have run: %+v", third)
+	}
+	id, first = r.send("put", "wide")
+	if again := find[Send](r.end(id, 0, first.Server, NoConnection)); len(again) != 1 || again[0].WriteBy != 0 {
+		t.Errorf("after one that never ran: %+v", again)
+	}
+	id, first = r.send("get", "wide")
+	if again := find[Send](r.end(id, 0, first.Server, Reset)); len(again) != 1 || again[0].WriteBy != 0 {
+		t.Errorf("a safe one: %+v", again)
+	}
+}
+
+// TestUnsafeIsNeverOutTwice: whatever else happens while an attempt of an unsafe request is out, or after it may have run, there is no
+// other.
+func TestUnsafeIsNeverOutTwice(t *testing.T) {
+	for outcome, again := range map[Outcome]bool{Error: false, Reset: false, TimedOut: false, Cancelled: false, Full: true, NoConnection: true} {
+		r := newRig(t, func(c *Config) { c.Limits.Parallel = true })
+		id, acts := r.ask("pay", "wide", "c", 1)
+		s, timers := find[Send](acts)[0], find[SetTimer](acts)
+		if len(timers) == 0 || timers[0].At >= r.now+time.Second {
+			t.Fatalf("no look at an overdue attempt: %+v", acts)
+		}
+		if more := find[Send](r.fire([]Action{timers[0]})); len(more) != 0 {
+			t.Fatalf("a second copy: %+v", more)
+		}
+		if more := find[Send](r.end(id, 0, s.Server, outcome)); len(more) > 0 != again {
+			t.Errorf("after outcome %v: %+v", outcome, more)
+		}
+	}
+}
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -16,12 +16,14 @@
 	"time"
 
 	"sloepick/decide"
+	"sloepick/internal/stand/leaks"
 )
 
 // A watch that is silent is given up and made again, and the next call goes on from the version last told.
 // Without the bound a gateway would wait for ever on discovery that went down with the call in hand; with a
 // watch instead of short calls it would learn that discovery is back only when that watch is over.
 func TestWatchOutlivesSilence(t *testing.T) {
+	leaks.Check(t)
 	calls := make(chan string, 16)
 	n := 0
 	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -134,6 +136,7 @@
 // TestSlowDiscoveryIsHeard: discovery that takes longer than a short call may, for each call, is heard all the same, by the call
 // that is out beside the short ones; and once it answers in time there is one call at a time again.
 func TestSlowDiscoveryIsHeard(t *testing.T) {
+	leaks.Check(t)
 	var out, most atomic.Int32
 	release := make(chan struct{})
 	w := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
@@ -186,6 +189,7 @@
 // TestBadListsKeepTheLastGood: whatever discovery says that is no list, or not a newer one, is an error in the log that tells where,
 // and the next good list counts.
 func TestBadListsKeepTheLastGood(t *testing.T) {
+	leaks.Check(t)
 	for name, tc := range map[string]struct{ body, logged string }{
 		"garbled":             {"{", "reading the list of 1 bytes"},
 		"cut off":             {listText(2, true, "up")[:40], "reading the list of 40 bytes"},
@@ -224,6 +228,7 @@
 
 // TestIndentedListsAreRead: lists may come indented.
 func TestIndentedListsAreRead(t *testing.T) {
+	leaks.Check(t)
 	l := watch(t, func(rw http.ResponseWriter, req *http.Request) {
 		e := json.NewEncoder(rw)
 		e.SetIndent("\t", "  ")
@@ -239,6 +244,7 @@
 // TestDiscoveryCountsAnew: discovery that has lost its count says older whole lists only, or older changes. After some in a row it
 // is believed.
 func TestDiscoveryCountsAnew(t *testing.T) {
+	leaks.Check(t)
 	for name, full := range map[string]bool{"whole lists": true, "changes": false} {
 		t.Run(name, func(t *testing.T) {
 			var n atomic.Int32
@@ -259,6 +265,7 @@
 
 // TestChangesOfOneServerCountInOrder: among changes a server may stand twice.
 func TestChangesOfOneServerCountInOrder(t *testing.T) {
+	leaks.Check(t)
 	l := ServerList{Servers: []ServerEntry{{ID: "s", Addr: "127.0.0.1:1", State: "draining"}, {ID: "s", State: "removed"}}}
 	if err := l.check(); err != nil {
 		t.Error(err)
@@ -270,6 +277,7 @@
 
 // TestFailureLog: failures that come again and again are counted, not told.
 func TestFailureLog(t *testing.T) {
+	leaks.Check(t)
 	var out strings.Builder
 	f := failureLog{log: slog.New(slog.NewTextHandler(&out, nil))}
 	for range 1000 {
--- a/internal/gateway/listener_test.go
+++ b/internal/gateway/listener_test.go
@@ -8,11 +8,14 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"sloepick/internal/stand/leaks"
 )
 
 // TestAcceptQueueAtTheEnd: connections that the kernel has accepted, and that wait in the listener's queue when it finishes, are
 // taken; then the listener closes.
 func TestAcceptQueueAtTheEnd(t *testing.T) {
+	leaks.Check(t)
 	t.Run("before it accepts", func(t *testing.T) { acceptQueueAtTheEnd(t, false) })
 	t.Run("as it accepts", func(t *testing.T) { acceptQueueAtTheEnd(t, true) })
 }
@@ -74,6 +77,7 @@
 
 // TestFinishWakesAccept: a listener at which nobody waits closes at once.
 func TestFinishWakesAccept(t *testing.T) {
+	leaks.Check(t)
 	l, _ := still(t, 0)
 	s := NewListener("test", "127.0.0.1:0")
 	if err := s.Listen(t.Context()); err != nil {
@@ -95,6 +99,7 @@
 
 // TestFinishHasAnEnd: connections that come without end don't keep a listener open past its time.
 func TestFinishHasAnEnd(t *testing.T) {
+	leaks.Check(t)
 	s := NewListener("test", "127.0.0.1:0")
 	if err := s.Listen(t.Context()); err != nil {
 		t.Fatal(err)
@@ -127,6 +132,7 @@
 
 // TestStopWaitsForTheLastAccept: a gateway without clients does not end while a front still takes what waits at its listener.
 func TestStopWaitsForTheLastAccept(t *testing.T) {
+	leaks.Check(t)
 	near, far := connectedPair(t)
 	f := &lateFront{finish: make(chan struct{}), conn: near}
 	cfg := SmallConfig(t, long, nil)
--- a/internal/gateway/outlet_test.go
+++ b/internal/gateway/outlet_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"sloepick/internal/stand/leaks"
 )
 
 // deadlineConn is a connection that tells the last write deadline it was given.
@@ -67,6 +69,7 @@
 // TestWriteDeadlineEndsWithItsWrite: a limit that was set for one slow write must not end the connection at a later one. Try
 // goes by the connection's deadlines, so one left behind fails it long after the client has caught up.
 func TestWriteDeadlineEndsWithItsWrite(t *testing.T) {
+	leaks.Check(t)
 	near, far := connectedPair(t)
 	conn := &deadlineConn{TCPConn: near}
 	o := NewOutlet(conn)
@@ -87,6 +90,7 @@
 
 // TestTryFailsByAnOldDeadline holds what the mend rests on: a raw write fails once a deadline of its connection has passed.
 func TestTryFailsByAnOldDeadline(t *testing.T) {
+	leaks.Check(t)
 	near, _ := connectedPair(t)
 	if err := near.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 		t.Fatal(err)
--- a/internal/resp/rig_test.go
+++ b/internal/resp/rig_test.go
@@ -14,6 +14,7 @@
 	"sloepick/internal/gateway"
 	"sloepick/internal/settings"
 	"sloepick/internal/stand"
+	"sloepick/internal/stand/leaks"
 	"sloepick/internal/tuning"
 )
 
@@ -69,6 +70,7 @@
 
 func newBench(t *testing.T, aim time.Duration) *bench {
 	t.Helper()
+	leaks.Check(t)
 	set, err := settings.Parse(stand.Profile(aim))
 	if err != nil {
 		t.Fatal(err)
@@ -79,6 +81,7 @@
 	if b.Core, err = gateway.NewCore(cfg, b.clock, nil, slog.New(slog.DiscardHandler)); err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(b.end)
 	b.Tap(func(e decide.Event, _ []decide.Action) {
 		if e, ok := e.(decide.AttemptEnded); ok {
 			b.ends = append(b.ends, e.Outcome)
@@ -87,6 +90,16 @@
 	return b
 }
 
+// end closes the connections to the server, whose readers wait for the core.
+func (b *bench) end() {
+	for _, n := range b.held.nodes {
+		n.Retire()
+		for _, t := range b.held.tries {
+			n.GiveUp(t)
+		}
+	}
+}
+
 // server is the list of the one server in a state.
 func server(state string) gateway.ServerList {
 	return gateway.ServerList{Version: 1, Full: true, Servers: []gateway.ServerEntry{{ID: "s-0", Addr: "127.0.0.1:1", Zone: "a", State: state, Weight: 1}}}
--- a/internal/stand/node.go
+++ b/internal/stand/node.go
@@ -378,6 +378,13 @@
 	return slices.Clone(t.arrivals)
 }
 
+// Started is when a node's process was started anew, each time.
+func (t *Tally) Started(node string) []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.started[node])
+}
+
 // Effects are how often each request took effect, by its id.
 func (t *Tally) Effects() map[string]int {
 	t.mu.Lock()
