--- a/internal/gateway/back.go
+++ b/internal/gateway/back.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"sloepick/decide"
@@ -9,36 +11,36 @@
 // Back reaches nodes by a protocol of its own. Which nodes, discovery's kind tells (Config.Backs).
 type Back interface {
 	// Node is asked for a node at an address, by the loop.
-	Node(d *Door, p *Place) Carrier
+	Node(d *Door, p *Place) Transport
 }
 
-// Carrier carries attempts to one node at one address. Its methods are called by the loop.
-type Carrier interface {
+// Transport carries attempts to one node at one address. Its methods are called by the loop.
+type Transport interface {
 	Start(t *Try)  // it must tell how the try ended, once, unless GiveUp comes first
 	GiveUp(t *Try) // nothing of it is waited for any more, and nothing of it may be written from now on
-	Retire()       // the connections that are there or being made take nothing new, and close once nothing is open on them
+	Drain()        // the connections that are there or being made take nothing new, and close once nothing is open on them
 
 	// Idle is since when the connection has stood that has stood idle for longest; false: none is idle.
 	Idle() (since time.Duration, any bool)
 	Evict() // closes that connection
 }
 
-// Fate is what became of an attempt that was not served, in no protocol's words.
-type Fate int
+// AttemptResult is what became of an attempt that was not served, in no protocol's words.
+type AttemptResult int
 
-// The fates.
+// The results.
 const (
-	NoRoom     Fate = iota + 1 // nothing went out, for want of something here
-	NeverLeft                  // no connection came up, or it broke before the last byte was handed over
-	TurnedAway                 // the node said that it did not begin it
-	Broke                      // the connection, or its part in it, broke after the last byte
-	Unusable                   // the node answered, with an error or with what is no answer
+	NoRoom     AttemptResult = iota + 1 // nothing went out, for want of something here
+	NeverLeft                           // no connection came up, or it broke before the last byte was handed over
+	TurnedAway                          // the node said that it did not begin it
+	Broke                               // the connection, or its part in it, broke after the last byte
+	Unusable                            // the node answered, with an error or with what is no answer
 )
 
 // outcome is the one table of what may have run, for all protocols: after NoRoom, NeverLeft and TurnedAway nothing has, after
 // the others it may. RESP2 tells TurnedAway by -BUSY; HTTP/2 by REFUSED_STREAM, by GOAWAY with a lower last stream (RFC 9113,
 // 8.7), or by an answer that promises it.
-func (f Fate) outcome() decide.Outcome {
+func (f AttemptResult) outcome() decide.Outcome {
 	switch f {
 	case NoRoom:
 		return decide.Moot
@@ -52,7 +54,7 @@
 	return decide.Error
 }
 
-// Place is a node as its carrier sees it: connections to it are counted with all others.
+// Place is a node as its transport sees it: connections to it are counted with all others.
 type Place struct {
 	p    *pool
 	s    *upstream
@@ -75,6 +77,26 @@
 	return true
 }
 
+// Dial makes a connection that was taken, within the time for connecting or a shorter one, and lets the loop call done.
+func (n *Place) Dial(d *Door, within time.Duration, done func(net.Conn, error)) {
+	within, addr := min(within, n.ConnectTimeout()), n.addr
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), within)
+		defer cancel()
+		dialer := net.Dialer{KeepAlive: -1}
+		conn, err := dialer.DialContext(ctx, "tcp", addr)
+		d.Post(func() { done(conn, err) })
+	}()
+}
+
+// NotReached is what becomes of an attempt whose connection was not made, or came up to a node that is not there any more (nil).
+func NotReached(err error) AttemptResult {
+	if err != nil && localFault(err) {
+		return NoRoom
+	}
+	return NeverLeft
+}
+
 // Give counts a connection off.
 func (n *Place) Give() { n.p.dropped(n.s) }
 
@@ -88,12 +110,12 @@
 // IdleTimeout is how long a connection may stand idle, well within the time after which nodes may close it; 0: for ever.
 func (n *Place) IdleTimeout() time.Duration { return n.p.idleFor }
 
-// Try is one attempt, for a carrier.
+// Try is one attempt, for a transport.
 type Try struct {
-	l     *loop
-	a     *attempt
-	carry Carrier // that it was started by: a node that has moved has another; nil: by none
-	Own   any     // the carrier's own
+	l         *loop
+	a         *attempt
+	transport Transport // that it was started by: a node that has moved has another; nil: by none
+	Own       any       // the transport's own
 }
 
 // Values are the request's. Patience and Came are not for the node: Left is what it may take.
@@ -132,7 +154,7 @@
 }
 
 // Ended ends it. What broke before it was whole never left.
-func (t *Try) Ended(f Fate) {
+func (t *Try) Ended(f AttemptResult) {
 	if f == Broke && !t.a.whole {
 		f = NeverLeft
 	}
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -31,7 +31,7 @@
 	p *Place
 }
 
-func (w *wire) Node(_ *Door, p *Place) Carrier { return &wireNode{w, p} }
+func (w *wire) Node(_ *Door, p *Place) Transport { return &wireNode{w, p} }
 
 func (n *wireNode) Start(t *Try) {
 	if !n.p.Take() {
@@ -41,7 +41,7 @@
 	n.w.tries = append(n.w.tries, t)
 }
 func (n *wireNode) GiveUp(t *Try) { n.w.givenUp = append(n.w.givenUp, t); n.p.Give() }
-func (n *wireNode) Retire()       { n.w.retired++ }
+func (n *wireNode) Drain()        { n.w.retired++ }
 func (n *wireNode) Idle() (time.Duration, bool) {
 	at, any := n.w.idle[n.p.Addr()]
 	return at, any
@@ -74,16 +74,16 @@
 }
 
 // asked keeps the endings of a request.
-type asked struct{ ends []Ending }
+type asked struct{ ends []Response }
 
-func (a *asked) Ended(e Ending) { a.ends = append(a.ends, e) }
+func (a *asked) Ended(e Response) { a.ends = append(a.ends, e) }
 
 func values(id string) *Values {
 	return &Values{Customer: "00000000b4d65521", ID: id, Class: "look", Plan: "p", Patience: long, Units: 1, Spread: 2, Came: time.Hour}
 }
 
 // open puts a request into the loop.
-func open(l *loop, id string) (*asked, Ticket) {
+func open(l *loop, id string) (*asked, RequestHandle) {
 	a := &asked{}
 	t := l.door.Ask(a, values(id))
 	l.drainTodo()
@@ -111,7 +111,7 @@
 	}
 	first.want(t, Failed, "internal error")
 	second.want(t, Failed, "internal error")
-	if _, ticket := open(l, "three"); len(ticket.r.attempts) != 1 {
+	if _, handle := open(l, "three"); len(handle.r.attempts) != 1 {
 		t.Error("the new module sends nothing")
 	}
 }
@@ -119,9 +119,9 @@
 // A request that the module forgot is failed before its client stops waiting, once.
 func TestOverdueRequestIsFailed(t *testing.T) {
 	l, _ := still(t, 1)
-	a, ticket := open(l, "id")
-	l.overdue(ticket.r)
-	l.overdue(ticket.r)
+	a, handle := open(l, "id")
+	l.overdue(handle.r)
+	l.overdue(handle.r)
 	l.drainTodo()
 	a.want(t, Failed, "failed")
 	if len(l.requests) != 0 {
@@ -155,9 +155,9 @@
 		l, _ := still(t, 1)
 		open(l, "id")
 		fill(l)
-		a, ticket := open(l, "id-2")
-		if a.want(t, Refused, ""); ticket.Open() || a.ends[0].After != time.Second {
-			t.Errorf("%s: %+v, open %v", name, a.ends, ticket.Open())
+		a, handle := open(l, "id-2")
+		if a.want(t, Refused, ""); handle.Open() || a.ends[0].After != time.Second {
+			t.Errorf("%s: %+v, open %v", name, a.ends, handle.Open())
 		}
 	}
 }
@@ -224,14 +224,14 @@
 
 // client is a connection that owes something or not.
 type client struct {
-	quiet         bool
-	used          time.Duration
-	weaned, ended int
+	quiet          bool
+	used           time.Duration
+	drained, ended int
 }
 
 func (c *client) Quiet() bool         { return c.quiet }
 func (c *client) Used() time.Duration { return c.used }
-func (c *client) Wean()               { c.weaned++ }
+func (c *client) Drain()              { c.drained++ }
 func (c *client) Close()              { c.ended++ }
 
 // Clients and servers together stay within the descriptors, and a client over the last of them is sent away.
@@ -259,8 +259,8 @@
 		l.door.Admit(c)
 	}
 	l.evictClient()
-	if old.weaned != 1 || young.weaned+owed.weaned != 0 {
-		t.Errorf("weaned: old %d, young %d, owed %d", old.weaned, young.weaned, owed.weaned)
+	if old.drained != 1 || young.drained+owed.drained != 0 {
+		t.Errorf("drained: old %d, young %d, owed %d", old.drained, young.drained, owed.drained)
 	}
 }
 
@@ -294,8 +294,8 @@
 		want   decide.Outcome
 	}{{true, 0, decide.TimedOut}, {true, lateness + 1, decide.Cancelled}, {false, 0, decide.NoConnection}} {
 		l, w := still(t, 1)
-		_, ticket := open(l, "id")
-		a := ticket.r.attempts[0]
+		_, handle := open(l, "id")
+		a := handle.r.attempts[0]
 		a.placed = c.placed
 		l.clock.(*hand).now = a.until + c.late
 		l.pool.expire(a)
@@ -308,18 +308,18 @@
 // The one table of what may have run, and the one exception: what broke before it was whole never left.
 func TestFates(t *testing.T) {
 	for _, c := range []struct {
-		fate  Fate
-		whole bool
-		want  decide.Outcome
+		result AttemptResult
+		whole  bool
+		want   decide.Outcome
 	}{{NoRoom, false, decide.Moot}, {NeverLeft, false, decide.NoConnection}, {TurnedAway, true, decide.Full}, {Broke, true, decide.Reset},
 		{Broke, false, decide.NoConnection}, {Unusable, true, decide.Error}} {
 		l, w := still(t, 1)
-		_, ticket := open(l, "id")
-		a := ticket.r.attempts[0]
+		_, handle := open(l, "id")
+		a := handle.r.attempts[0]
 		a.whole = c.whole
-		w.tries[0].Ended(c.fate)
+		w.tries[0].Ended(c.result)
 		if a.outcome != c.want {
-			t.Errorf("fate %d, whole %v: outcome %v, want %v", c.fate, c.whole, a.outcome, c.want)
+			t.Errorf("result %d, whole %v: outcome %v, want %v", c.result, c.whole, a.outcome, c.want)
 		}
 	}
 }
@@ -346,14 +346,14 @@
 func TestEndedWorkIsLetGo(t *testing.T) {
 	l, _ := still(t, 1)
 	before := len(l.alarms)
-	_, ticket := open(l, "id")
+	_, handle := open(l, "id")
 	timers := 0 // the module's own, which name what they are about and don't hold it
 	for _, a := range l.alarms[before:] {
-		if a != ticket.r.overdue && a != ticket.r.attempts[0].expiry {
+		if a != handle.r.overdue && a != handle.r.attempts[0].expiry {
 			timers++
 		}
 	}
-	l.door.Abandon(ticket)
+	l.door.Abandon(handle)
 	l.drainTodo()
 	if len(l.alarms) != before+timers || len(l.requests) != 0 || len(l.ids) != 0 || l.held != 0 {
 		t.Errorf("%d alarms, want %d; %d requests, %d ids, %d bytes", len(l.alarms), before+timers, len(l.requests), len(l.ids), l.held)
@@ -363,32 +363,32 @@
 // A server that is gone is forgotten once no connection leads to it, not before.
 func TestGoneServerIsForgotten(t *testing.T) {
 	l, w := still(t, 1)
-	_, ticket := open(l, "id")
+	_, handle := open(l, "id")
 	l.fleet(decide.FleetFull, ServerList{Version: 2, Full: true})
 	if len(l.pool.servers) != 1 || w.retired != 1 {
 		t.Errorf("%d servers with an attempt out, %d retired", len(l.pool.servers), w.retired)
 	}
-	l.pool.cancel(ticket.r.attempts[0])
+	l.pool.cancel(handle.r.attempts[0])
 	l.fleet(decide.FleetDelta, ServerList{Version: 3, Servers: []ServerEntry{{ID: "never", State: "removed"}}})
 	if len(l.pool.servers) != 0 {
 		t.Errorf("%d servers are kept", len(l.pool.servers))
 	}
 }
 
-// A server that moves or starts anew has another carrier, and the old one takes nothing more.
+// A server that moves or starts anew has another transport, and the old one takes nothing more.
 func TestMovedServerHasAnotherCarrier(t *testing.T) {
 	l, w := still(t, 1)
 	for i, e := range []ServerEntry{{Addr: "127.0.0.1:9", State: "up"}, {Addr: "127.0.0.1:9", State: "up", StartedMS: 7}} {
-		before := l.pool.servers["s-0"].carry
+		before := l.pool.servers["s-0"].transport
 		e.ID = "s-0"
 		l.fleet(decide.FleetDelta, ServerList{Version: uint64(2 + i), Servers: []ServerEntry{e}})
-		if l.pool.servers["s-0"].carry == before || w.retired != i+1 {
-			t.Errorf("%+v: the carrier stays, %d retired", e, w.retired)
+		if l.pool.servers["s-0"].transport == before || w.retired != i+1 {
+			t.Errorf("%+v: the transport stays, %d retired", e, w.retired)
 		}
 	}
-	before := l.pool.servers["s-0"].carry
+	before := l.pool.servers["s-0"].transport
 	l.fleet(decide.FleetDelta, ServerList{Version: 4, Servers: []ServerEntry{{ID: "s-0", Addr: "127.0.0.1:9", State: "draining", StartedMS: 7}}})
-	if l.pool.servers["s-0"].carry != before || w.retired != 3 {
+	if l.pool.servers["s-0"].transport != before || w.retired != 3 {
 		t.Errorf("draining: %d retired", w.retired)
 	}
 }
@@ -396,8 +396,8 @@
 // New values hold for what is begun from then on, and nothing that is in use is taken away.
 func TestRetune(t *testing.T) {
 	l, w := still(t, 1)
-	_, ticket := open(l, "id")
-	a := ticket.r.attempts[0]
+	_, handle := open(l, "id")
+	a := handle.r.attempts[0]
 	next := tuning.Default()
 	next.Nodes.Connections, next.Nodes.IdlePart, next.Nodes.Descriptors = 1, 6, 0.25
 	next.Clients.Held = 0.01
@@ -430,8 +430,8 @@
 	short.Stop.Longest, short.Stop.Accept, short.Stop.LastCall = time.Second, 0, 0
 	l.tune.Store(&short)
 	l.stop()
-	if l.later(29 * time.Second); c.weaned != 1 || c.ended != 0 { // the classes' 30 s
-		t.Errorf("weaned %d times, ended %d times", c.weaned, c.ended)
+	if l.later(29 * time.Second); c.drained != 1 || c.ended != 0 { // the classes' 30 s
+		t.Errorf("drained %d times, ended %d times", c.drained, c.ended)
 	}
 	if l.later(time.Second); c.ended != 1 {
 		t.Error("a connection that is never answered holds the gateway")
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -89,10 +89,10 @@
 // its request is still open.
 func TestGivenUpAttemptIsNotWanted(t *testing.T) {
 	l, w := still(t, 1)
-	a, ticket := open(l, "id")
+	a, handle := open(l, "id")
 	first := w.tries[0]
 	l.pool.giveUp(first.a, decide.NoConnection)
-	if len(a.ends) > 0 || !ticket.Open() {
+	if len(a.ends) > 0 || !handle.Open() {
 		t.Fatalf("the request has ended: %+v", a.ends)
 	}
 	if first.Wanted() {
@@ -115,8 +115,8 @@
 // TestPanicAfterTheAnswer: a request that has its answer, and an attempt still out, gets no second one when the module panics.
 func TestPanicAfterTheAnswer(t *testing.T) {
 	l, _ := still(t, 1)
-	a, ticket := open(l, "id")
-	l.answer(ticket.r, Ending{Kind: Served, Value: []byte("v")})
+	a, handle := open(l, "id")
+	l.answer(handle.r, Response{Kind: Served, Value: []byte("v")})
 	l.restart(l.core)
 	if a.want(t, Served, ""); len(l.requests) > 0 && l.requests["1"].out == 0 {
 		t.Error("the request is kept")
--- a/internal/gateway/endings_test.go
+++ b/internal/gateway/endings_test.go
@@ -49,10 +49,10 @@
 	served int
 }
 
-func (p *puppet) Node(*gateway.Door, *gateway.Place) gateway.Carrier { return p }
-func (p *puppet) Retire()                                            {}
-func (p *puppet) Idle() (time.Duration, bool)                        { return 0, false }
-func (p *puppet) Evict()                                             {}
+func (p *puppet) Node(*gateway.Door, *gateway.Place) gateway.Transport { return p }
+func (p *puppet) Drain()                                               {}
+func (p *puppet) Idle() (time.Duration, bool)                          { return 0, false }
+func (p *puppet) Evict()                                               {}
 
 func (p *puppet) Start(t *gateway.Try) {
 	if t.Wanted() {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -23,20 +23,20 @@
 // Conn is a client's connection of any protocol, as the core counts it among the descriptors. Its methods are called by
 // the loop.
 type Conn interface {
-	Quiet() bool         // nothing is owed on it, so that it may be weaned to make room
+	Quiet() bool         // nothing is owed on it, so that it may be drained to make room
 	Used() time.Duration // when it was last answered, or came
-	Wean()               // takes what has come, answers all, and ends
+	Drain()              // takes what has come, answers all, and ends
 	Close()              // ends at once; what is open on it is abandoned
 }
 
-// Asker is a request's place on a front. Ended is called by the loop once, possibly before Ask returns.
-type Asker interface{ Ended(e Ending) }
+// Responder is a request's place on a front. Ended is called by the loop once, possibly before Ask returns.
+type Responder interface{ Ended(e Response) }
 
-// Ticket is an open request. The zero value is none: it has had its ending.
-type Ticket struct{ r *request }
+// RequestHandle is an open request. The zero value is none: it has had its ending.
+type RequestHandle struct{ r *request }
 
-// Open reports that the ticket is of a request.
-func (t Ticket) Open() bool { return t.r != nil }
+// Open reports that the handle is of a request.
+func (t RequestHandle) Open() bool { return t.r != nil }
 
 // Door is what fronts and backs see of the core. Post, Accept, Closing, Log, Now and Tuning may be called from any goroutine;
 // the others are for the loop's, in which what Post is given runs, and what At and Later are.
@@ -82,14 +82,14 @@
 // Later calls a function at the end of the loop's turn.
 func (d *Door) Later(do func()) { d.l.after = append(d.l.after, do) }
 
-// Admit counts a connection, and reports false if there is no room for it. One that comes while the gateway ends is weaned
+// Admit counts a connection, and reports false if there is no room for it. One that comes while the gateway ends is drained
 // soon.
 func (d *Door) Admit(c Conn) bool {
 	if !d.l.admit(c) {
 		return false
 	}
 	if d.l.closing {
-		d.l.at(d.Now()+d.l.tune.Load().Stop.LastCall, c.Wean)
+		d.l.at(d.Now()+d.l.tune.Load().Stop.LastCall, c.Drain)
 	}
 	return true
 }
@@ -98,14 +98,16 @@
 func (d *Door) Gone(c Conn) { delete(d.l.clients, c) }
 
 // Ask takes a request into the core.
-func (d *Door) Ask(from Asker, v *Values) Ticket { return Ticket{d.l.accept(from, v)} }
+func (d *Door) Ask(from Responder, v *Values) RequestHandle {
+	return RequestHandle{d.l.accept(from, v)}
+}
 
 // Decide has the module hear at once of what was asked and abandoned in this turn; otherwise it does when the call that the loop
 // makes returns. A front with many requests at hand calls it between them, so that each is held to what the one before left.
 func (d *Door) Decide() { d.l.drainTodo() }
 
 // Abandon ends a request whose client has gone away.
-func (d *Door) Abandon(t Ticket) { d.l.abandon(t.r) }
+func (d *Door) Abandon(t RequestHandle) { d.l.abandon(t.r) }
 
 // Room is what the customer's bucket has room for now.
 func (d *Door) Room(customer, plan string) (decide.Room, bool) {
@@ -136,6 +138,6 @@
 		}
 	}
 	if quiet != nil {
-		quiet.Wean()
+		quiet.Drain()
 	}
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -8,7 +8,6 @@
 	"maps"
 	"runtime/debug"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -198,7 +197,7 @@
 		return
 	}
 	for _, r := range slices.SortedFunc(maps.Values(l.requests), func(a, b *request) int { return cmp.Compare(a.n, b.n) }) {
-		l.answer(r, Ending{Kind: Failed, Why: "internal error"})
+		l.answer(r, Response{Kind: Failed, Why: "internal error"})
 		for _, a := range r.attempts {
 			l.pool.cancel(a)
 		}
@@ -218,11 +217,11 @@
 		}
 	case decide.Refuse:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, Ending{Kind: Refused, After: a.RetryAfter, Quota: a.Quota})
+			l.answer(r, Response{Kind: Refused, After: a.RetryAfter, Quota: a.Quota})
 		}
 	case decide.Fail:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, Ending{Kind: Failed, Why: "failed", Late: r.ranOut()})
+			l.answer(r, Response{Kind: Failed, Why: "failed", Late: r.ranOut()})
 		}
 	case decide.SetTimer:
 		core := l.core
@@ -245,178 +244,6 @@
 	}
 }
 
-// heldMost is how many bytes the commands of open requests may take.
-func (l *loop) heldMost() int { return int(float64(l.cfg.MemoryMB<<20) * l.tune.Load().Clients.Held) }
-
-// accept takes a request that a front has read whole. It returns nil if the request has its ending already.
-func (l *loop) accept(from Asker, v *Values) *request {
-	if err := v.check(&l.cfg); err != nil {
-		from.Ended(Ending{Kind: Rejected, Why: err.Error()})
-		return nil
-	}
-	cap := l.cfg.Settings.OpenCap
-	if !l.mayAdmit() || l.held+v.size() > l.heldMost() || (cap > 0 && len(l.requests) >= cap) {
-		from.Ended(Ending{Kind: Refused, After: l.cfg.Settings.Decide.Limits.MaxRetryAfter})
-		return nil
-	}
-	if l.power != nil {
-		if ok, after := l.power.mayBegin(v); !ok {
-			from.Ended(Ending{Kind: Refused, After: after})
-			return nil
-		}
-	}
-	if _, open := l.ids[v.ID]; open { // two of one id must never meet one another's answer
-		from.Ended(Ending{Kind: Rejected, Why: "a request with this id is open", Taken: true})
-		return nil
-	}
-	l.nextID++
-	r := &request{id: strconv.FormatUint(l.nextID, 36), n: l.nextID, from: from, v: v}
-	if !l.enter(r) {
-		advice := r.routes.Route(r.route).Advice
-		if advice == 0 {
-			advice = l.cfg.Settings.Decide.Limits.MaxRetryAfter
-		}
-		from.Ended(Ending{Kind: Refused, After: advice})
-		return nil
-	}
-	l.requests[r.id] = r
-	l.ids[v.ID] = struct{}{}
-	l.held += v.size()
-	deadline := v.Came + min(v.Patience, v.limit) - deadlineMargin
-	r.overdue = l.at(deadline+overdueAfter, func() { l.overdue(r) })
-	ev := r.event()
-	ev.Deadline = deadline
-	if r.routes != nil {
-		ev.Bounds = r.routes.Bounds(r.route, ev.Class, l.clock.Now())
-	}
-	l.feed(ev)
-	return r
-}
-
-// reroute takes routes in place of the former ones. Requests that are open keep what they began with.
-func (l *loop) reroute(routes []*route.Route) {
-	l.routes = nil
-	if len(routes) > 0 {
-		l.routes = route.NewTable(routes, &l.cfg.Settings.Decide)
-	}
-}
-
-// enter finds a request's route and takes it in. It reports false if the route has no room.
-func (l *loop) enter(r *request) bool {
-	if l.routes == nil {
-		return true
-	}
-	n := l.routes.Match(route.Ask{Class: r.v.Class, Plan: r.v.Plan, Customer: r.v.Customer, Patience: r.v.Patience})
-	if n < 0 {
-		return true
-	}
-	r.routes, r.route = l.routes, n
-	return l.routes.Begin(n)
-}
-
-// overdue fails a request that the module has not ended in time. The client must get its one answer before
-// it stops waiting, whatever became of the request.
-func (l *loop) overdue(r *request) {
-	if r.done {
-		return
-	}
-	l.log.Error("a request was left open past its deadline", "class", r.v.Class, "attempts", len(r.attempts))
-	l.answer(r, Ending{Kind: Failed, Why: "failed", Late: true})
-	l.feed(decide.ClientGone{ID: r.id})
-}
-
-// answer gives a request its final answer, once.
-func (l *loop) answer(r *request, e Ending) {
-	if r.done {
-		return
-	}
-	l.end(r)
-	r.from.Ended(e)
-}
-
-// abandon ends a request whose client has gone away.
-func (l *loop) abandon(r *request) {
-	if r.done {
-		return
-	}
-	l.end(r)
-	l.feed(decide.ClientGone{ID: r.id})
-}
-
-func (l *loop) end(r *request) {
-	r.done = true
-	if r.routes != nil {
-		r.routes.End(r.route)
-	}
-	l.held -= r.v.size()
-	delete(l.ids, r.v.ID)
-	l.unset(r.overdue)
-	l.drop(r)
-}
-
-// drop forgets a request that is over.
-func (l *loop) drop(r *request) {
-	if r.done && r.out == 0 {
-		delete(l.requests, r.id)
-	}
-}
-
-// send starts an attempt.
-func (l *loop) send(s decide.Send) {
-	r := l.requests[s.ID]
-	if r == nil {
-		return
-	}
-	now := l.clock.Now()
-	a := &attempt{req: r, n: len(r.attempts), at: now, until: now + s.Timeout, writeBy: s.WriteBy, server: l.pool.servers[s.Server]}
-	r.attempts = append(r.attempts, a)
-	r.out++
-	if r.done {
-		l.ended(a, decide.Moot)
-		return
-	}
-	a.expiry = l.at(a.until, func() { l.pool.expire(a) })
-	if a.writeBy > 0 && a.writeBy < a.until {
-		a.tooLate = l.at(a.writeBy, func() { l.pool.dropUnwritten(a) })
-	}
-	l.pool.start(a)
-}
-
-// ended tells the module how an attempt ended.
-func (l *loop) ended(a *attempt, o decide.Outcome) { l.endedWith(a, o, use{}) }
-
-func (l *loop) endedWith(a *attempt, o decide.Outcome, u use) {
-	if a.over {
-		return
-	}
-	a.over, a.outcome = true, o
-	l.unset(a.expiry)
-	l.unset(a.tooLate)
-	r := a.req
-	r.out--
-	ev := decide.AttemptEnded{ID: r.id, Attempt: a.n, Outcome: o, Took: l.clock.Now() - a.at, Done: r.done,
-		Metered: u.metered, TrueUnits: u.units}
-	if a.server != nil {
-		ev.Server = a.server.id
-	}
-	l.feed(ev)
-	l.drop(r)
-}
-
-// served passes a value on and ends its attempt. The first good answer of a request settles its units: those of others are
-// called off by then.
-func (l *loop) served(a *attempt, value, figures []byte) {
-	if r := a.req; r.routes != nil {
-		now := l.clock.Now()
-		r.routes.Answered(r.route, r.v.Class, now-a.at, now)
-	}
-	if l.power != nil {
-		l.power.answered(a.req.v.Units)
-	}
-	l.answer(a.req, Ending{Kind: Served, Value: value})
-	l.endedWith(a, decide.OK, l.cfg.readUse(figures))
-}
-
 // fleet takes a list of servers.
 func (l *loop) fleet(kind decide.FleetKind, list ServerList) {
 	u := decide.FleetUpdate{Kind: kind, Version: list.Version}
--- a/internal/gateway/baton.go
+++ b/internal/gateway/mailbox.go
@@ -1,21 +1,21 @@
 package gateway
 
-// Baton is how a connection's reader waits for the loop: the loop hands a value on, the reader takes it. It holds one. Hand and
+// Mailbox is how a connection's reader waits for the loop: the loop hands a value on, the reader takes it. It holds one. Hand and
 // End are the loop's, in whatever order they come; Wait is the reader's.
 //
-// A connection ends once, in the loop, by its own close: that alone closes its socket, ends its baton and gives its
+// A connection ends once, in the loop, by its own close: that alone closes its socket, ends its mailbox and gives its
 // descriptor back. Whoever still calls into it, the rest of a piece that it sent, an ending, an alarm, a writer that is done,
 // finds it closed, changes nothing and takes no request in.
-type Baton[T any] struct {
+type Mailbox[T any] struct {
 	c     chan T
 	ended bool
 }
 
-// NewBaton makes one that holds nothing.
-func NewBaton[T any]() Baton[T] { return Baton[T]{c: make(chan T, 1)} }
+// NewMailbox makes one that holds nothing.
+func NewMailbox[T any]() Mailbox[T] { return Mailbox[T]{c: make(chan T, 1)} }
 
-// Hand gives the reader a value. It reports false if one that was handed before still waits, or the baton has ended.
-func (b *Baton[T]) Hand(v T) bool {
+// Hand gives the reader a value. It reports false if one that was handed before still waits, or the mailbox has ended.
+func (b *Mailbox[T]) Hand(v T) bool {
 	if b.ended {
 		return false
 	}
@@ -27,16 +27,16 @@
 	}
 }
 
-// End has the reader stop once it has taken what was handed. Ending again changes nothing.
-func (b *Baton[T]) End() {
+// End has the reader stop once it has taken what was handed. Ending it again changes nothing.
+func (b *Mailbox[T]) End() {
 	if !b.ended {
 		b.ended = true
 		close(b.c)
 	}
 }
 
-// Wait takes the next value, in the reader's goroutine. It reports false once the baton has ended.
-func (b *Baton[T]) Wait() (v T, going bool) {
+// Wait takes the next value, in the reader's goroutine. It reports false once the mailbox has ended.
+func (b *Mailbox[T]) Wait() (v T, going bool) {
 	v, going = <-b.c
 	return v, going
 }
--- a/internal/gateway/baton_test.go
+++ b/internal/gateway/mailbox_test.go
@@ -2,9 +2,9 @@
 
 import "testing"
 
-// TestBaton: it holds one value, what was handed before the end is still taken, and nothing handed after it does harm.
-func TestBaton(t *testing.T) {
-	b := NewBaton[int]()
+// TestMailbox: it holds one value, what was handed before the end is still taken, and nothing handed after it does harm.
+func TestMailbox(t *testing.T) {
+	b := NewMailbox[int]()
 	if !b.Hand(1) || b.Hand(2) {
 		t.Error("it does not hold one")
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,7 +10,7 @@
 
 const datagramMost = 256 // bytes of a message between gateways
 
-// Peers carry messages to the other gateways, by their numbers. Tell never waits; what it sends may be lost.
+// Peers transport messages to the other gateways, by their numbers. Tell never waits; what it sends may be lost.
 type Peers interface {
 	Tell(to int, text string) error
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -17,11 +17,11 @@
 
 // upstream is one server.
 type upstream struct {
-	id    string
-	addr  string
-	entry decide.Server
-	conns int     // open or being made
-	carry Carrier // to the address at which it is; nil until it has had one
+	id        string
+	addr      string
+	entry     decide.Server
+	conns     int       // open or being made
+	transport Transport // to the address at which it is; nil until it has had one
 }
 
 // pool keeps the servers and counts the connections to them.
@@ -49,7 +49,7 @@
 	p.perNode = t.Connections
 }
 
-// update takes an entry of the list. The id is the server; its address and its process may change, and with them its carrier.
+// update takes an entry of the list. The id is the server; its address and its process may change, and with them its transport.
 func (p *pool) update(e decide.Server, addr string) {
 	s := p.servers[e.ID]
 	if s == nil {
@@ -61,10 +61,10 @@
 	}
 	moved := s.addr != addr || s.entry.Started != e.Started
 	s.entry = e
-	if e.State != decide.Gone && (moved || s.carry == nil) {
+	if e.State != decide.Gone && (moved || s.transport == nil) {
 		s.retire() // it leads to a process that is gone
 		s.addr = addr
-		s.carry = p.l.cfg.back(e.Kind).Node(p.l.door, &Place{p, s, addr})
+		s.transport = p.l.cfg.back(e.Kind).Node(p.l.door, &Place{p, s, addr})
 	}
 	if e.State != decide.Serving {
 		s.retire()
@@ -73,8 +73,8 @@
 }
 
 func (s *upstream) retire() {
-	if s.carry != nil {
-		s.carry.Retire()
+	if s.transport != nil {
+		s.transport.Drain()
 	}
 }
 
@@ -110,15 +110,15 @@
 	return list
 }
 
-// start hands an attempt to its server's carrier.
+// start hands an attempt to its server's transport.
 func (p *pool) start(a *attempt) {
 	s := a.server
 	if s == nil || s.entry.State != decide.Serving {
 		p.l.ended(a, decide.NoConnection)
 		return
 	}
-	a.try = Try{l: p.l, a: a, carry: s.carry}
-	s.carry.Start(&a.try)
+	a.try = Try{l: p.l, a: a, transport: s.transport}
+	s.transport.Start(&a.try)
 }
 
 // room is how many connections there may be, of all servers: clients over their share take from it.
@@ -131,16 +131,16 @@
 	var oldest *upstream
 	var since time.Duration
 	for _, s := range p.servers {
-		if s.carry == nil {
+		if s.transport == nil {
 			continue
 		}
-		at, any := s.carry.Idle()
+		at, any := s.transport.Idle()
 		if any && (oldest == nil || at < since || at == since && s.id < oldest.id) {
 			oldest, since = s, at
 		}
 	}
 	if oldest != nil {
-		oldest.carry.Evict()
+		oldest.transport.Evict()
 	}
 }
 
@@ -178,15 +178,15 @@
 	if a.over {
 		return
 	}
-	if a.try.carry != nil {
-		a.try.carry.GiveUp(&a.try)
+	if a.try.transport != nil {
+		a.try.transport.GiveUp(&a.try)
 	}
 	p.l.ended(a, o)
 }
 
-// LocalFault reports whether a connection was not made for want of something on this machine. The server must
+// localFault reports whether a connection was not made for want of something on this machine. The server must
 // not be held to be bad for it.
-func LocalFault(err error) bool {
+func localFault(err error) bool {
 	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
 		if errors.Is(err, e) {
 			return true
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -98,8 +98,8 @@
 	Rejected      // the request itself can't be taken
 )
 
-// Ending is how a request ended for its client, in no protocol's words. A front makes its bytes of it.
-type Ending struct {
+// Response is how a request ended for its client, in no protocol's words. A front makes its bytes of it.
+type Response struct {
 	Kind  Kind
 	Value []byte        // of Served: as a node gave it
 	After time.Duration // of Refused: when to come again; 0: no advice
@@ -113,7 +113,7 @@
 type request struct {
 	id       string // the module's; a client's own ids may come twice
 	n        uint64 // counts them
-	from     Asker
+	from     Responder
 	v        *Values
 	attempts []*attempt
 	overdue  *alarm
@@ -142,7 +142,7 @@
 	expiry    *alarm
 	tooLate   *alarm // at writeBy
 	try       Try
-	placed    bool // its carrier has put it on a connection
+	placed    bool // its transport has put it on a connection
 	whole     bool // the last byte may have been written
 	over      bool
 	outcome   decide.Outcome // once it is over
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -155,7 +155,7 @@
 		l.closing = true
 		close(l.closed)
 		for _, c := range l.connections() {
-			c.Wean()
+			c.Drain()
 		}
 	})
 	l.at(now+max(t.Longest, l.longestWait()+t.Accept+t.LastCall), func() {
--- a/internal/gateway/use.go
+++ b/internal/gateway/use.go
@@ -15,7 +15,7 @@
 
 const usedMost = 1 << 20 // of a metered use: ten thousand times the rate, beyond all that happens
 
-// readUse reads figures on use as both protocols carry them, such as "used=86,units=3": each name once, names that are not
+// readUse reads figures on use as both protocols transport them, such as "used=86,units=3": each name once, names that are not
 // known left unread. Figures that can't be read tell nothing and do the value no harm: a node must not bend a bucket by them,
 // so units are held to the most that a request may count for. What the settings do not provide for is not read at all.
 func (c *Config) readUse(figures []byte) (u use) {
--- a/internal/gateway/outlet.go
+++ b/internal/gateway/writer.go
@@ -7,17 +7,17 @@
 	"time"
 )
 
-// Outlet writes to a connection without making the loop wait: the kernel takes what it can at once, and a goroutine with a time
+// Writer writes to a connection without making the loop wait: the kernel takes what it can at once, and a goroutine with a time
 // limit writes what a slow peer leaves.
-type Outlet struct {
+type Writer struct {
 	conn net.Conn
 	raw  syscall.RawConn // nil: the kernel does not take bytes as they are; all goes by Finish
 	busy bool            // a goroutine is writing
 }
 
-// NewOutlet makes one. A connection that is not the kernel's own, such as a TLS one, only has Finish.
-func NewOutlet(c net.Conn) *Outlet {
-	o := &Outlet{conn: c}
+// NewWriter makes one. A connection that is not the kernel's own, such as a TLS one, only has Finish.
+func NewWriter(c net.Conn) *Writer {
+	o := &Writer{conn: c}
 	if sc, ok := c.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			o.raw = raw
@@ -27,7 +27,7 @@
 }
 
 // Try writes what the kernel takes at once. Taking nothing is no error.
-func (o *Outlet) Try(b []byte) (n int, err error) {
+func (o *Writer) Try(b []byte) (n int, err error) {
 	if o.raw == nil {
 		return 0, nil
 	}
@@ -52,7 +52,7 @@
 
 // Quiet reports whether the connection is open and nothing has come on it that was not read. Where that can't be seen, it
 // reports false.
-func (o *Outlet) Quiet() bool {
+func (o *Writer) Quiet() bool {
 	if o.raw == nil {
 		return false
 	}
@@ -65,11 +65,11 @@
 }
 
 // Busy reports that Finish has not ended.
-func (o *Outlet) Busy() bool { return o.busy }
+func (o *Writer) Busy() bool { return o.busy }
 
 // Finish writes the rest from a goroutine of its own, within a time, and then lets the loop call done. The time limit ends with
 // the write: one left on the connection would have a later Try fail, which goes by the connection's deadlines too.
-func (o *Outlet) Finish(rest []byte, within time.Duration, d *Door, done func(error)) {
+func (o *Writer) Finish(rest []byte, within time.Duration, d *Door, done func(error)) {
 	o.busy = true
 	go func() {
 		err := o.conn.SetWriteDeadline(time.Now().Add(within))
@@ -89,7 +89,7 @@
 // Shutdown tells the peer that nothing more is written, and lets the loop call done once the peer has closed its side too, or
 // has had so long to. Until then the connection takes what the peer still sends, so that no reset overtakes what was written; it is
 // not read.
-func (o *Outlet) Shutdown(within time.Duration, d *Door, done func()) {
+func (o *Writer) Shutdown(within time.Duration, d *Door, done func()) {
 	closer, ok := o.conn.(interface{ CloseWrite() error })
 	if !ok || o.raw == nil {
 		done()
@@ -108,7 +108,7 @@
 }
 
 // awaitEnd waits until the peer has closed its side with nothing left unread, the connection has failed, or its read deadline passes.
-func (o *Outlet) awaitEnd() {
+func (o *Writer) awaitEnd() {
 	_ = o.raw.Read(func(fd uintptr) (ended bool) { // that time is up is no fault here
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/internal/gateway/outlet_test.go
+++ b/internal/gateway/writer_test.go
@@ -53,8 +53,8 @@
 	return accepted.(*net.TCPConn), dialed.(*net.TCPConn)
 }
 
-// finish runs Outlet.Finish as the loop does, and waits for what it tells.
-func finish(t *testing.T, o *Outlet, rest []byte, within time.Duration) error {
+// finish runs Writer.Finish as the loop does, and waits for what it tells.
+func finish(t *testing.T, o *Writer, rest []byte, within time.Duration) error {
 	t.Helper()
 	l := &loop{in: newInbox()}
 	told := make(chan error, 1)
@@ -72,7 +72,7 @@
 	leaks.Check(t)
 	near, far := connectedPair(t)
 	conn := &deadlineConn{TCPConn: near}
-	o := NewOutlet(conn)
+	o := NewWriter(conn)
 	if err := finish(t, o, []byte("slow"), time.Hour); err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +95,7 @@
 	if err := near.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := NewOutlet(near).Try([]byte("x")); !errors.Is(err, os.ErrDeadlineExceeded) {
+	if _, err := NewWriter(near).Try([]byte("x")); !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("got %v", err)
 	}
 }
--- a/internal/h2/back.go
+++ b/internal/h2/back.go
@@ -1,7 +1,6 @@
 package h2
 
 import (
-	"context"
 	"maps"
 	"net"
 	"slices"
@@ -30,7 +29,7 @@
 func NewBack(c BackConfig) *Back { return &Back{c} }
 
 // Node implements gateway.Back.
-func (b *Back) Node(d *gateway.Door, p *gateway.Place) gateway.Carrier {
+func (b *Back) Node(d *gateway.Door, p *gateway.Place) gateway.Transport {
 	return &node{cfg: b.cfg, d: d, place: p, spots: map[*gateway.Try]spot{}}
 }
 
@@ -52,7 +51,7 @@
 	stream uint32
 }
 
-// Start implements gateway.Carrier. A try goes on the connection with the fewest open; where all are full, or still write,
+// Start implements gateway.Transport. A try goes on the connection with the fewest open; where all are full, or still write,
 // another is made, one at a time, and as many wait for it as it will take.
 func (n *node) Start(t *gateway.Try) {
 	if c := n.free(); c != nil {
@@ -81,14 +80,7 @@
 
 func (n *node) dial() {
 	n.dialing = true
-	addr, within := n.place.Addr(), n.place.ConnectTimeout()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), within)
-		defer cancel()
-		d := net.Dialer{KeepAlive: -1}
-		nc, err := d.DialContext(ctx, "tcp", addr)
-		n.d.Post(func() { n.dialed(nc, err) })
-	}()
+	n.place.Dial(n.d, n.place.ConnectTimeout(), n.dialed)
 }
 
 func (n *node) dialed(nc net.Conn, err error) {
@@ -99,12 +91,9 @@
 	}
 	if err != nil || stale {
 		n.place.Give()
-		fate := gateway.NeverLeft
-		if err != nil && gateway.LocalFault(err) {
-			fate = gateway.NoRoom
-		}
+		result := gateway.NotReached(err)
 		for _, t := range waiting {
-			t.Ended(fate)
+			t.Ended(result)
 		}
 		return
 	}
@@ -120,15 +109,15 @@
 	limits := wire.DefaultLimits()
 	limits.Streams = n.cfg.Streams
 	now := n.d.Now()
-	c := &nodeConn{n: n, nc: nc, out: gateway.NewOutlet(nc), wire: wire.NewClient(limits, now), tries: map[uint32]*gateway.Try{},
-		heard: now, used: now, resume: gateway.NewBaton[struct{}]()}
+	c := &nodeConn{n: n, nc: nc, out: gateway.NewWriter(nc), wire: wire.NewClient(limits, now), tries: map[uint32]*gateway.Try{},
+		heard: now, used: now, resume: gateway.NewMailbox[struct{}]()}
 	n.conns = append(n.conns, c)
 	c.flush()
 	c.watch()
 	go c.read()
 }
 
-// GiveUp implements gateway.Carrier: the stream is reset, the connection stays. One that still writes is ended: the rest of the
+// GiveUp implements gateway.Transport: the stream is reset, the connection stays. One that still writes is ended: the rest of the
 // request could go out after its end.
 func (n *node) GiveUp(t *gateway.Try) {
 	if i := slices.Index(n.waiting, t); i >= 0 {
@@ -146,8 +135,8 @@
 	}
 }
 
-// Retire implements gateway.Carrier.
-func (n *node) Retire() {
+// Drain implements gateway.Transport.
+func (n *node) Drain() {
 	n.stale = n.dialing
 	for _, c := range slices.Clone(n.conns) {
 		c.last = true
@@ -155,7 +144,7 @@
 	}
 }
 
-// Idle implements gateway.Carrier.
+// Idle implements gateway.Transport.
 func (n *node) Idle() (since time.Duration, any bool) {
 	c := n.idlest()
 	if c == nil {
@@ -164,7 +153,7 @@
 	return c.used, true
 }
 
-// Evict implements gateway.Carrier.
+// Evict implements gateway.Transport.
 func (n *node) Evict() { n.idlest().end() }
 
 // idlest is the connection on which nothing has been open for longest; nil: there is none.
@@ -181,7 +170,7 @@
 type nodeConn struct {
 	n      *node
 	nc     net.Conn
-	out    *gateway.Outlet
+	out    *gateway.Writer
 	wire   *wire.Conn
 	tries  map[uint32]*gateway.Try // by stream
 	heard  time.Duration           // when something came
@@ -190,7 +179,7 @@
 	last   bool                    // nothing new goes out on it
 	unsent []byte
 	closed bool
-	resume gateway.Baton[struct{}]
+	resume gateway.Mailbox[struct{}]
 	alarm  func()
 }
 
--- a/internal/h2/front.go
+++ b/internal/h2/front.go
@@ -66,16 +66,16 @@
 // take begins a connection, in the loop.
 func (f *Front) take(d *gateway.Door, nc net.Conn) {
 	now := d.Now()
-	c := &conn{f: f, d: d, nc: nc, raw: nc, used: now, came: now, asks: map[uint32]*ask{}, resume: gateway.NewBaton[struct{}]()}
+	c := &conn{f: f, d: d, nc: nc, raw: nc, used: now, came: now, asks: map[uint32]*ask{}, resume: gateway.NewMailbox[struct{}]()}
 	if !d.Admit(c) {
 		nc.Close() // unread, so nothing is lost
 		return
 	}
-	c.out = gateway.NewOutlet(nc)
+	c.out = gateway.NewWriter(nc)
 	c.peek = c.out
 	if f.tls != nil {
 		c.nc = tls.Server(nc, f.tls.config())
-		c.out = gateway.NewOutlet(c.nc)
+		c.out = gateway.NewWriter(c.nc)
 	}
 	limits := wire.DefaultLimits()
 	limits.Streams = f.l.Streams
@@ -89,26 +89,26 @@
 
 // conn is a client's connection. All but read is the loop's.
 type conn struct {
-	f      *Front
-	d      *gateway.Door
-	nc     net.Conn // raw, or TLS on it, whose closing would wait for the peer
-	raw    net.Conn
-	out    *gateway.Outlet
-	peek   *gateway.Outlet // raw's
-	wire   *wire.Conn
-	asks   map[uint32]*ask // by stream
-	bound  bool            // it may ask for owner alone
-	owner  string          // the customer that its certificate names
-	came   time.Duration
-	used   time.Duration
-	resume gateway.Baton[struct{}] // lets the reader go on
-	unsent []byte                  // behind what Finish writes
-	later  bool                    // to be flushed at the turn's end
-	half   bool                    // nothing more is written
-	ending bool                    // to be closed once all is written
-	weaned bool
-	closed bool
-	alarm  func()
+	f        *Front
+	d        *gateway.Door
+	nc       net.Conn // raw, or TLS on it, whose closing would wait for the peer
+	raw      net.Conn
+	out      *gateway.Writer
+	peek     *gateway.Writer // raw's
+	wire     *wire.Conn
+	asks     map[uint32]*ask // by stream
+	bound    bool            // it may ask for owner alone
+	owner    string          // the customer that its certificate names
+	came     time.Duration
+	used     time.Duration
+	resume   gateway.Mailbox[struct{}] // lets the reader go on
+	unsent   []byte                    // behind what Finish writes
+	later    bool                      // to be flushed at the turn's end
+	half     bool                      // nothing more is written
+	ending   bool                      // to be closed once all is written
+	draining bool
+	closed   bool
+	alarm    func()
 }
 
 // ask is a request that is open.
@@ -116,7 +116,7 @@
 	c      *conn
 	stream uint32
 	v      *gateway.Values
-	ticket gateway.Ticket
+	handle gateway.RequestHandle
 	over   bool
 }
 
@@ -200,8 +200,8 @@
 func (c *conn) forget(a *ask) {
 	delete(c.asks, a.stream)
 	a.over = true
-	if a.ticket.Open() {
-		c.d.Abandon(a.ticket)
+	if a.handle.Open() {
+		c.d.Abandon(a.handle)
 	}
 }
 
@@ -221,11 +221,11 @@
 	}
 	a := &ask{c: c, stream: stream, v: v}
 	c.asks[stream] = a
-	a.ticket = c.d.Ask(a, v)
+	a.handle = c.d.Ask(a, v)
 }
 
 // Ended answers the request.
-func (a *ask) Ended(e gateway.Ending) {
+func (a *ask) Ended(e gateway.Response) {
 	if a.over {
 		return
 	}
@@ -289,7 +289,7 @@
 		return
 	}
 	c.unsent = c.unsent[:0]
-	if c.ending || c.weaned && c.wire.Idle() {
+	if c.ending || c.draining && c.wire.Idle() {
 		c.finish()
 	}
 }
@@ -344,7 +344,7 @@
 			quiet = c.came + t.FirstCommand
 		}
 		if quiet <= now {
-			c.Wean()
+			c.Drain()
 		} else {
 			next = quiet
 		}
@@ -353,18 +353,18 @@
 }
 
 // Quiet reports that nothing is owed.
-func (c *conn) Quiet() bool { return c.wire.Open() == 0 && !c.weaned && !c.ending }
+func (c *conn) Quiet() bool { return c.wire.Open() == 0 && !c.draining && !c.ending }
 
 // Used is when it was last answered.
 func (c *conn) Used() time.Duration { return c.used }
 
-// Wean ends it. While the gateway ends this is in the two steps of RFC 9113, 6.8, and what crosses the first GOAWAY is still
+// Drain ends it. While the gateway ends this is in the two steps of RFC 9113, 6.8, and what crosses the first GOAWAY is still
 // taken; else room is wanted at once, and a client whose request crosses the one GOAWAY reads there that it never ran.
-func (c *conn) Wean() {
-	if c.weaned || c.closed {
+func (c *conn) Drain() {
+	if c.draining || c.closed {
 		return
 	}
-	c.weaned = true
+	c.draining = true
 	select {
 	case <-c.d.Closing():
 		c.wire.Shutdown()
--- a/internal/h2/mapping.go
+++ b/internal/h2/mapping.go
@@ -184,7 +184,7 @@
 }
 
 // respond is an ending as HTTP has it.
-func respond(e gateway.Ending) *response {
+func respond(e gateway.Response) *response {
 	r := &response{}
 	switch e.Kind {
 	case gateway.Served:
--- a/internal/h2/mapping_test.go
+++ b/internal/h2/mapping_test.go
@@ -46,19 +46,19 @@
 // Every ending has its status, its promise and, where it is refused, when to come again.
 func TestEndings(t *testing.T) {
 	for _, c := range []struct {
-		e      gateway.Ending
+		e      gateway.Response
 		status int
 		ran    string
 		after  string
 	}{
-		{gateway.Ending{Kind: gateway.Served, Value: []byte("v")}, 200, "", ""},
-		{gateway.Ending{Kind: gateway.Refused, After: 1500 * time.Microsecond}, 503, "never", "2"},
-		{gateway.Ending{Kind: gateway.Refused, Quota: true, After: 2 * time.Second}, 429, "never", "2000"},
-		{gateway.Ending{Kind: gateway.Refused}, 503, "never", "1000"},
-		{gateway.Ending{Kind: gateway.Failed}, 502, "unknown", ""},
-		{gateway.Ending{Kind: gateway.Failed, Late: true}, 504, "unknown", ""},
-		{gateway.Ending{Kind: gateway.Rejected, Why: "k is missing"}, 400, "never", ""},
-		{gateway.Ending{Kind: gateway.Rejected, Taken: true}, 409, "never", ""},
+		{gateway.Response{Kind: gateway.Served, Value: []byte("v")}, 200, "", ""},
+		{gateway.Response{Kind: gateway.Refused, After: 1500 * time.Microsecond}, 503, "never", "2"},
+		{gateway.Response{Kind: gateway.Refused, Quota: true, After: 2 * time.Second}, 429, "never", "2000"},
+		{gateway.Response{Kind: gateway.Refused}, 503, "never", "1000"},
+		{gateway.Response{Kind: gateway.Failed}, 502, "unknown", ""},
+		{gateway.Response{Kind: gateway.Failed, Late: true}, 504, "unknown", ""},
+		{gateway.Response{Kind: gateway.Rejected, Why: "k is missing"}, 400, "never", ""},
+		{gateway.Response{Kind: gateway.Rejected, Taken: true}, 409, "never", ""},
 	} {
 		r, got := respond(c.e), map[string]string{}
 		for _, f := range r.fields {
--- a/internal/resp/back.go
+++ b/internal/resp/back.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"net"
 	"os"
@@ -18,7 +17,7 @@
 type Back struct{}
 
 // Node implements gateway.Back.
-func (Back) Node(d *gateway.Door, p *gateway.Place) gateway.Carrier { return &node{d: d, place: p} }
+func (Back) Node(d *gateway.Door, p *gateway.Place) gateway.Transport { return &node{d: d, place: p} }
 
 // node is a node at an address. All of it is the loop's.
 type node struct {
@@ -33,17 +32,17 @@
 type conn struct {
 	n       *node
 	nc      net.Conn
-	out     *gateway.Outlet
-	retired int                          // the node's, when it was asked for
-	try     *gateway.Try                 // whose answer is owed
-	whole   bool                         // the last byte of it was handed over
-	early   *answer                      // came before it was known here that the last byte was handed over
-	asked   gateway.Baton[time.Duration] // tells the reader that an answer is owed, and how long one may take once it has begun
+	out     *gateway.Writer
+	retired int                            // the node's, when it was asked for
+	try     *gateway.Try                   // whose answer is owed
+	whole   bool                           // the last byte of it was handed over
+	early   *answer                        // came before it was known here that the last byte was handed over
+	asked   gateway.Mailbox[time.Duration] // tells the reader that an answer is owed, and how long one may take once it has begun
 	used    time.Duration
 	closed  bool
 }
 
-// Start implements gateway.Carrier: on an idle connection, or on a new one.
+// Start implements gateway.Transport: on an idle connection, or on a new one.
 func (n *node) Start(t *gateway.Try) {
 	for c := n.rested(); c != nil; c = n.rested() {
 		if c.write(t) {
@@ -73,14 +72,8 @@
 }
 
 func (n *node) dial(t *gateway.Try) {
-	within, addr, retired := min(n.place.ConnectTimeout(), t.Left()), n.place.Addr(), n.retired
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), within)
-		defer cancel()
-		d := net.Dialer{KeepAlive: -1}
-		nc, err := d.DialContext(ctx, "tcp", addr)
-		n.d.Post(func() { n.dialed(t, retired, nc, err) })
-	}()
+	retired := n.retired
+	n.place.Dial(n.d, t.Left(), func(nc net.Conn, err error) { n.dialed(t, retired, nc, err) })
 }
 
 // dialed looks again before the first byte: while the connection was made the attempt may have been called
@@ -89,11 +82,7 @@
 func (n *node) dialed(t *gateway.Try, retired int, nc net.Conn, err error) {
 	if err != nil {
 		n.place.Give()
-		fate := gateway.NeverLeft
-		if gateway.LocalFault(err) {
-			fate = gateway.NoRoom
-		}
-		t.Ended(fate)
+		t.Ended(gateway.NotReached(err))
 		return
 	}
 	c := newConn(n, nc, retired)
@@ -113,25 +102,25 @@
 }
 
 func newConn(n *node, nc net.Conn, retired int) *conn {
-	return &conn{n: n, nc: nc, out: gateway.NewOutlet(nc), retired: retired, used: n.d.Now(), asked: gateway.NewBaton[time.Duration]()}
+	return &conn{n: n, nc: nc, out: gateway.NewWriter(nc), retired: retired, used: n.d.Now(), asked: gateway.NewMailbox[time.Duration]()}
 }
 
-// GiveUp implements gateway.Carrier.
+// GiveUp implements gateway.Transport.
 func (n *node) GiveUp(t *gateway.Try) {
 	if c, ok := t.Own.(*conn); ok {
 		c.close() // an answer is owed on it, so it can't be used again
 	}
 }
 
-// Retire implements gateway.Carrier.
-func (n *node) Retire() {
+// Drain implements gateway.Transport.
+func (n *node) Drain() {
 	n.retired++
 	for len(n.idle) > 0 {
 		n.idle[len(n.idle)-1].close()
 	}
 }
 
-// Idle implements gateway.Carrier.
+// Idle implements gateway.Transport.
 func (n *node) Idle() (since time.Duration, any bool) {
 	if len(n.idle) == 0 {
 		return 0, false
@@ -139,7 +128,7 @@
 	return n.idle[0].used, true
 }
 
-// Evict implements gateway.Carrier.
+// Evict implements gateway.Transport.
 func (n *node) Evict() { n.idle[0].close() }
 
 // sweep retires connections well before the server may close them: a request written to one that is being
@@ -263,8 +252,8 @@
 	} else {
 		c.close()
 	}
-	if a.fate != 0 {
-		t.Ended(a.fate)
+	if a.result != 0 {
+		t.Ended(a.result)
 		return
 	}
 	t.Served(a.value, a.figures)
--- a/internal/resp/back_test.go
+++ b/internal/resp/back_test.go
@@ -18,7 +18,7 @@
 )
 
 // A connection that comes up after its attempt was called off, or after its server was drained or moved, must
-// carry nothing, also when the server is back by then.
+// transport nothing, also when the server is back by then.
 func TestLateConnectionCarriesNothing(t *testing.T) {
 	for name, meanwhile := range map[string]func(b *bench, c *client){
 		"":          nil, // without a fault in between it carries the request, so that the others can fail
@@ -42,7 +42,7 @@
 				meanwhile(b, c)
 			}
 			far := b.bring(try)
-			b.node().Retire()
+			b.node().Drain()
 			b.node().GiveUp(try)
 			if got := text(t, far); strings.Contains(got, askName) != (meanwhile == nil) {
 				t.Errorf("the server got %q", got)
--- a/internal/resp/crossing_test.go
+++ b/internal/resp/crossing_test.go
@@ -162,7 +162,7 @@
 func TestRequestCrossesTheClose(t *testing.T) {
 	b := newBench(t, long)
 	try, c, far := b.attempted("one")
-	c.Wean()
+	c.Drain()
 	b.until("the reader's end", func() bool { return c.read })
 	write(t, far, asked("two"))
 	unread(t, c)
@@ -194,7 +194,7 @@
 	b.until("an answer", func() bool { return c.used > 0 && len(c.slots) == 0 && c.owed.Load() == 0 && c.owedMost.Load() > 0 })
 	b.clock.now.Add(1) // the answer and the connection are not of the same moment
 	c.used = b.clock.Now()
-	c.Wean()
+	c.Drain()
 	b.until("the half close", func() bool { return c.half })
 	b.until("the close", func() bool { return c.closed })
 	if b.Figures().Clients != 0 {
@@ -208,7 +208,7 @@
 	b := newBench(t, long)
 	b.retune(func(t *tuning.Tuning) { t.Clients.Fault = time.Minute })
 	try, c, far := b.attempted("one")
-	c.Wean()
+	c.Drain()
 	b.until("the reader's end", func() bool { return c.read })
 	b.clock.now.Add(1)
 	write(t, b.bring(try), stand.Served("v"))
@@ -237,7 +237,7 @@
 			near, far := pair(t)
 			b.node().dialed(b.held.tries[1], 0, near, nil)
 			c.Close()
-			b.node().Retire()
+			b.node().Drain()
 			b.node().GiveUp(b.held.tries[1])
 			if got := text(t, far); strings.Contains(got, doName) == late {
 				t.Errorf("the server got %q", got)
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -43,15 +43,15 @@
 // slot holds the place of an answer among those of its connection.
 type slot struct {
 	client *client
-	ticket gateway.Ticket // of a request that is open
-	end    gateway.Ending
+	handle gateway.RequestHandle // of a request that is open
+	end    gateway.Response
 	reply  []byte // in place of an ending: it needed no decision
 	ready  bool
 }
 
-// Ended implements gateway.Asker: it fills the slot and writes what is next in order.
-func (s *slot) Ended(e gateway.Ending) {
-	s.ticket, s.end, s.ready = gateway.Ticket{}, e, true
+// Ended implements gateway.Responder: it fills the slot and writes what is next in order.
+func (s *slot) Ended(e gateway.Response) {
+	s.handle, s.end, s.ready = gateway.RequestHandle{}, e, true
 	s.client.flush()
 }
 
@@ -63,7 +63,7 @@
 }
 
 // appendEnding is an ending as RESP2 has it.
-func appendEnding(b []byte, e *gateway.Ending) []byte {
+func appendEnding(b []byte, e *gateway.Response) []byte {
 	switch e.Kind {
 	case gateway.Served:
 		return redcon.AppendBulk(b, e.Value)
@@ -82,7 +82,7 @@
 type client struct {
 	d       *gateway.Door
 	conn    net.Conn
-	out     *gateway.Outlet
+	out     *gateway.Writer
 	slots   []*slot // in the order of the commands
 	backlog []byte  // answers behind those that are being written
 	came    time.Duration
@@ -90,8 +90,8 @@
 	owed    atomic.Int32  // answers that the reader counts on the loop to give
 	// owedMost is the bound by which the reader waits; it takes a new one with each read.
 	owedMost atomic.Int32
-	resume   gateway.Baton[struct{}]
-	weaned   atomic.Bool // no further command is waited for
+	resume   gateway.Mailbox[struct{}]
+	draining atomic.Bool // no further command is waited for
 	ending   bool        // to be closed once all is answered
 	read     bool        // nothing more is read from it
 	half     bool        // nothing more is written to it: the client is to close
@@ -100,7 +100,7 @@
 
 func newClient(d *gateway.Door, nc net.Conn) *client {
 	now := d.Now()
-	return &client{d: d, conn: nc, out: gateway.NewOutlet(nc), came: now, used: now, resume: gateway.NewBaton[struct{}]()}
+	return &client{d: d, conn: nc, out: gateway.NewWriter(nc), came: now, used: now, resume: gateway.NewMailbox[struct{}]()}
 }
 
 // received is one command as the reader found it: a request, or an answer that needs no decision.
@@ -126,7 +126,7 @@
 		if r.cmd == nil {
 			s.reply, s.ready = r.reply, true
 		} else if t := c.d.Ask(s, &r.cmd.Values); !s.ready {
-			s.ticket = t
+			s.handle = t
 		}
 		c.d.Decide()
 	}
@@ -151,14 +151,14 @@
 // Used is when it was last answered, or came.
 func (c *client) Used() time.Duration { return c.used }
 
-// Wean ends it between requests: its reader stops once nothing more waits in the kernel, and when what
+// Drain ends it between requests: its reader stops once nothing more waits in the kernel, and when what
 // it had read is answered the connection is closed. Closing at once would lose a request that has come.
-func (c *client) Wean() {
+func (c *client) Drain() {
 	if c.read {
 		return // it ends already
 	}
 	c.ending = true
-	c.weaned.Store(true)
+	c.draining.Store(true)
 	c.wakeReader()
 }
 
@@ -241,7 +241,7 @@
 	c.out.Shutdown(fault, c.d, c.Close)
 }
 
-// Close ends a connection, as gateway.Baton tells. What was open on it is over: no one waits for it any more.
+// Close ends a connection, as gateway.Mailbox tells. What was open on it is over: no one waits for it any more.
 func (c *client) Close() {
 	if c.closed {
 		return
@@ -251,8 +251,8 @@
 	c.resume.End()
 	c.d.Gone(c)
 	for _, s := range c.slots {
-		if s.ticket.Open() {
-			c.d.Abandon(s.ticket)
+		if s.handle.Open() {
+			c.d.Abandon(s.handle)
 		}
 	}
 	c.slots, c.backlog = nil, nil
--- a/internal/resp/front_test.go
+++ b/internal/resp/front_test.go
@@ -64,7 +64,7 @@
 }
 
 // A request that has come in when its connection is to end is answered: closing on it would lose it.
-func TestWeanedConnectionReadsWhatHasCome(t *testing.T) {
+func TestDrainedConnectionReadsWhatHasCome(t *testing.T) {
 	b := newBench(t, long)
 	near, far := pair(t)
 	write(t, far, "*1\r\n$4\r\nPING\r\n")
@@ -72,7 +72,7 @@
 	for c.out.Quiet() { // the kernel has it before the reader is started
 		time.Sleep(time.Millisecond)
 	}
-	c.Wean()
+	c.Drain()
 	b.Door().Admit(c)
 	go newReader(c).run()
 	b.until("the end", func() bool { return c.closed })
@@ -82,11 +82,11 @@
 }
 
 // A command of which a part has come when its connection is to end is still read to its end and answered.
-func TestWeanedConnectionFinishesItsCommand(t *testing.T) {
+func TestDrainedConnectionFinishesItsCommand(t *testing.T) {
 	b := newBench(t, long)
 	c, far := b.connect("*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI")
 	b.until("the first answer", func() bool { return c.used > 0 && c.owedMost.Load() > 0 && len(c.slots) == 0 && c.owed.Load() == 0 })
-	c.Wean()
+	c.Drain()
 	time.Sleep(20 * time.Millisecond) // in which the reader wakes and looks; if it comes later, it has the rest at once
 	write(t, far, "NG\r\n")
 	b.until("the end", func() bool { return c.closed })
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -45,7 +45,7 @@
 		if r.held && !r.full() {
 			continue
 		}
-		if r.c.weaned.Load() && len(r.buf) == 0 && r.c.out.Quiet() {
+		if r.c.draining.Load() && len(r.buf) == 0 && r.c.out.Quiet() {
 			r.hand(commands{last: true})
 			return
 		}
--- a/internal/resp/rig_test.go
+++ b/internal/resp/rig_test.go
@@ -41,7 +41,7 @@
 	h *held
 }
 
-func (h *held) Node(d *gateway.Door, p *gateway.Place) gateway.Carrier {
+func (h *held) Node(d *gateway.Door, p *gateway.Place) gateway.Transport {
 	n := &heldNode{Back{}.Node(d, p).(*node), h}
 	h.nodes = append(h.nodes, n)
 	return n
@@ -93,7 +93,7 @@
 // end closes the connections to the server, whose readers wait for the core.
 func (b *bench) end() {
 	for _, n := range b.held.nodes {
-		n.Retire()
+		n.Drain()
 		for _, t := range b.held.tries {
 			n.GiveUp(t)
 		}
--- a/internal/resp/shape.go
+++ b/internal/resp/shape.go
@@ -83,10 +83,10 @@
 
 // answer is what a server said to a request.
 type answer struct {
-	fate    gateway.Fate // 0: served
-	value   []byte       // shares memory with what was read
-	figures []byte       // on use, likewise
-	inStep  bool         // the whole of it was read, so the next answer can be told from it
+	result  gateway.AttemptResult // 0: served
+	value   []byte                // shares memory with what was read
+	figures []byte                // on use, likewise
+	inStep  bool                  // the whole of it was read, so the next answer can be told from it
 }
 
 // parseAnswer reads a server's answer, exactly: an array of the value, the figures on use or null, and the load
@@ -97,11 +97,11 @@
 		return servedAnswer(b)
 	}
 	f, used, err := errorLine(b)
-	return answer{fate: f, inStep: true}, used, err
+	return answer{result: f, inStep: true}, used, err
 }
 
 // errorLine reads a line such as "-BUSY" or "-ERR failed queue=2".
-func errorLine(b []byte) (f gateway.Fate, used int, err error) {
+func errorLine(b []byte) (f gateway.AttemptResult, used int, err error) {
 	end := bytes.IndexByte(b[:min(len(b), fieldMost)], '\n')
 	if end < 0 && len(b) < fieldMost {
 		return 0, 0, nil
--- a/internal/resp/shape_test.go
+++ b/internal/resp/shape_test.go
@@ -28,7 +28,7 @@
 			}
 		}
 		a, used, err := parseAnswer([]byte(in))
-		if used != len(in) || a.fate != want.fate || string(a.value) != string(want.value) || string(a.figures) != string(want.figures) || a.inStep != want.inStep || err != nil {
+		if used != len(in) || a.result != want.result || string(a.value) != string(want.value) || string(a.figures) != string(want.figures) || a.inStep != want.inStep || err != nil {
 			t.Errorf("%q: got %+v, %d bytes, %v", in, a, used, err)
 		}
 	}
@@ -72,7 +72,7 @@
 	f.Add([]byte("-ERR failed\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		a, used, err := parseAnswer(b)
-		if used > len(b) || used < 0 || (err != nil && used != 0) || (used > 0 && (a.fate == 0) != (a.value != nil)) {
+		if used > len(b) || used < 0 || (err != nil && used != 0) || (used > 0 && (a.result == 0) != (a.value != nil)) {
 			t.Errorf("%q: %+v, %d bytes, %v", b, a, used, err)
 		}
 	})
--- a/internal/world/quotas.go
+++ b/internal/world/quotas.go
@@ -17,8 +17,8 @@
 	keptMost    = 1 << 16 // customers at once
 )
 
-// Asker is a customer that asks for so many units a second, in requests of so many, at gateways of its set drawn anew for each.
-type Asker struct {
+// Responder is a customer that asks for so many units a second, in requests of so many, at gateways of its set drawn anew for each.
+type Responder struct {
 	ID, Plan      string
 	Rate, Units   float64
 	First, Spread int
@@ -58,7 +58,7 @@
 }
 
 type openAsk struct {
-	who *Asker
+	who *Responder
 	at  time.Duration
 }
 
@@ -144,13 +144,13 @@
 }
 
 // Add has a customer ask from now on.
-func (q *Quotas) Add(a Asker) {
+func (q *Quotas) Add(a Responder) {
 	p := q.plans[a.Plan]
 	q.By[a.ID] = &Shared{level: p.Burst, at: q.K.Now()}
 	q.next(&a)
 }
 
-func (q *Quotas) next(a *Asker) {
+func (q *Quotas) next(a *Responder) {
 	gap := time.Duration(q.rnd.ExpFloat64() * a.Units / a.Rate * float64(time.Second))
 	q.K.After(gap, func() {
 		q.ask(a)
@@ -158,7 +158,7 @@
 	})
 }
 
-func (q *Quotas) ask(a *Asker) {
+func (q *Quotas) ask(a *Responder) {
 	q.Asked++
 	id := fmt.Sprint("r", q.Asked)
 	now := q.K.Now()
--- a/internal/world/quotas_test.go
+++ b/internal/world/quotas_test.go
@@ -20,7 +20,7 @@
 
 // quotaTrial is a fleet of so many gateways, of whose customers one in ten asks for three times its rate and the others for a third
 // of it. On average a gateway sees four units a second.
-func quotaTrial(t *testing.T, seed uint64, n int) (*Quotas, map[string]Asker) {
+func quotaTrial(t *testing.T, seed uint64, n int) (*Quotas, map[string]Responder) {
 	t.Helper()
 	k := NewKernel(seed, start)
 	net := NewNetwork(k, 3*time.Millisecond, 30*time.Millisecond)
@@ -29,11 +29,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	all := map[string]Asker{}
+	all := map[string]Responder{}
 	asked := 0.0
 	for i := 0; asked < 4*float64(n); i++ {
 		p := q.plans[[]string{"basic", "basic", "basic", "standard", "network"}[i%5]]
-		a := Asker{ID: fmt.Sprintf("c%05d", i), Plan: p.Name, Units: 2, Rate: p.Rate / 3, First: i % n, Spread: n - n/3}
+		a := Responder{ID: fmt.Sprintf("c%05d", i), Plan: p.Name, Units: 2, Rate: p.Rate / 3, First: i % n, Spread: n - n/3}
 		if i%10 == 3 || i%50 == 4 { // of standard, and of network a tenth
 			a.Rate = 3 * p.Rate
 		}
@@ -47,7 +47,7 @@
 // quotaSum is what those who flood and those who do not got.
 type quotaSum struct{ calmAsked, calmSent, floodOver, floodQuota float64 }
 
-func (q *Quotas) sum(all map[string]Asker, took time.Duration) (s quotaSum) {
+func (q *Quotas) sum(all map[string]Responder, took time.Duration) (s quotaSum) {
 	for id, a := range all {
 		x, p := q.By[id], q.plans[a.Plan]
 		if a.Rate > p.Rate {
