Serve clients that take their answers slowly as long as they take some of them

A client that read steadily but slowly was cut off with what it was owed.

Change: each write that brings something forward is followed by another, 15 times at most. Writes to nodes keep one time for all. TestSlowReaderIsServed holds both bounds and fails without either (seen).

--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -3,10 +3,14 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 )
 
+// stallsMost bounds how long a peer that takes a little again and again may hold a connection.
+const stallsMost = 15
+
 // Writer writes to a connection without making the loop wait: the kernel takes what it can at once, and a goroutine with a time
 // limit writes what a slow peer leaves.
 type Writer struct {
@@ -70,11 +74,29 @@
 // Finish writes the rest from a goroutine of its own, within a time, and then lets the loop call done. The time limit ends with
 // the write: one left on the connection would have a later Try fail, which goes by the connection's deadlines too.
 func (o *Writer) Finish(rest []byte, within time.Duration, d *Door, done func(error)) {
+	o.finish(rest, within, 1, d, done)
+}
+
+// FinishWhileTaken is Finish for a peer that may be slow: it is given up when it has taken nothing for stall, or has not taken all in
+// stallsMost times that.
+func (o *Writer) FinishWhileTaken(rest []byte, stall time.Duration, d *Door, done func(error)) {
+	o.finish(rest, stall, stallsMost, d, done)
+}
+
+// finish writes in so many steps at most. Each has its time, and each but the last has to bring something forward.
+func (o *Writer) finish(rest []byte, within time.Duration, steps int, d *Door, done func(error)) {
 	o.busy = true
 	go func() {
-		err := o.conn.SetWriteDeadline(time.Now().Add(within))
-		if err == nil {
-			_, err = o.conn.Write(rest)
+		var err error
+		for ; steps > 0 && len(rest) > 0; steps-- {
+			if err = o.conn.SetWriteDeadline(time.Now().Add(within)); err != nil {
+				break
+			}
+			n := 0
+			n, err = o.conn.Write(rest)
+			if rest = rest[n:]; err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+				break
+			}
 		}
 		if err == nil {
 			err = o.conn.SetWriteDeadline(time.Time{})
--- a/internal/gateway/writer_test.go
+++ b/internal/gateway/writer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -56,9 +57,14 @@
 // finish runs Writer.Finish as the loop does, and waits for what it tells.
 func finish(t *testing.T, o *Writer, rest []byte, within time.Duration) error {
 	t.Helper()
+	return await(func(d *Door, done func(error)) { o.Finish(rest, within, d, done) })
+}
+
+// await begins what ends in the loop, and waits for that.
+func await(begin func(d *Door, done func(error))) error {
 	l := &loop{in: newInbox()}
 	told := make(chan error, 1)
-	o.Finish(rest, within, &Door{l}, func(err error) { told <- err })
+	begin(&Door{l}, func(err error) { told <- err })
 	<-l.in.ready
 	for _, do := range l.in.take(nil) {
 		do()
@@ -99,3 +105,53 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// slowConn is a connection whose peer takes so many bytes in the time of each write.
+type slowConn struct {
+	net.Conn
+	takes []int
+	took  int
+}
+
+func (c *slowConn) SetWriteDeadline(time.Time) error { return nil }
+
+func (c *slowConn) Write(b []byte) (int, error) {
+	n := 0
+	if len(c.takes) > 0 {
+		n, c.takes = min(c.takes[0], len(b)), c.takes[1:]
+	}
+	c.took += n
+	if n < len(b) {
+		return n, os.ErrDeadlineExceeded
+	}
+	return n, nil
+}
+
+// TestSlowReaderIsServed: a client that takes its answers slowly has them; one that takes nothing for the time of a write is given up,
+// and so is one that takes a little for ever.
+func TestSlowReaderIsServed(t *testing.T) {
+	leaks.Check(t)
+	for name, x := range map[string]struct {
+		takes   []int
+		took    int
+		givenUp bool
+	}{
+		"all at once":        {[]int{100}, 100, false},
+		"slowly":             {[]int{30, 30, 30, 10}, 100, false},
+		"a part, then stops": {[]int{30, 0, 70}, 30, true},
+		"nothing":            {nil, 0, true},
+		"a byte at a time":   {slices.Repeat([]int{1}, 100), stallsMost, true},
+	} {
+		c := &slowConn{takes: x.takes}
+		err := await(func(d *Door, done func(error)) {
+			NewWriter(c).FinishWhileTaken(make([]byte, 100), time.Second, d, done)
+		})
+		if givenUp := errors.Is(err, os.ErrDeadlineExceeded); givenUp != x.givenUp || c.took != x.took || err != nil && !givenUp {
+			t.Errorf("%s: %d bytes were taken, error %v", name, c.took, err)
+		}
+	}
+	c := &slowConn{takes: []int{30, 30, 30, 10}}
+	if err := finish(t, NewWriter(c), make([]byte, 100), time.Second); err == nil || c.took != 30 {
+		t.Errorf("a write with one time for all took %d bytes, error %v", c.took, err)
+	}
+}
--- a/internal/h2/front.go
+++ b/internal/h2/front.go
@@ -279,7 +279,7 @@
 	if n < len(c.unsent) {
 		rest := c.unsent[n:]
 		c.unsent = nil
-		c.out.Finish(rest, c.d.Tuning().Clients.Write, c.d, func(err error) {
+		c.out.FinishWhileTaken(rest, c.d.Tuning().Clients.Write, c.d, func(err error) {
 			if err != nil {
 				c.Close()
 				return
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -214,7 +214,7 @@
 	}
 	rest := c.backlog[n:]
 	c.backlog = nil
-	c.out.Finish(rest, c.d.Tuning().Clients.Write, c.d, func(err error) {
+	c.out.FinishWhileTaken(rest, c.d.Tuning().Clients.Write, c.d, func(err error) {
 		if err != nil {
 			c.Close()
 			return
