--- a/internal/stand/leaks/leaks.go
+++ b/internal/stand/leaks/leaks.go
@@ -18,6 +18,11 @@
 // Check is called first in a test: when the test and its other cleanups are over, no goroutine and no descriptor may be left that
 // was not there before. Tests that run beside others can't use it.
 func Check(t testing.TB) {
+	t.Helper()
+	check(t, within)
+}
+
+func check(t testing.TB, within time.Duration) {
 	t.Helper()
 	before := goleak.IgnoreCurrent()
 	files := descriptors()
@@ -25,17 +30,17 @@
 		if t.Failed() {
 			return // it ended before it had cleaned up
 		}
-		if err := ended(before); err != nil {
+		if err := ended(before, within); err != nil {
 			t.Error(err)
 		}
-		if err := closed(files); err != nil {
+		if err := closed(files, within); err != nil {
 			t.Error(err)
 		}
 	})
 }
 
 // ended waits until all goroutines have ended that were not there before.
-func ended(before goleak.Option) (err error) {
+func ended(before goleak.Option, within time.Duration) (err error) {
 	for end := time.Now().Add(within); time.Now().Before(end); {
 		if err = goleak.Find(before); err == nil { // it waits for a part of a second itself
 			return nil
@@ -45,7 +50,7 @@
 }
 
 // closed waits until no more descriptors are open than before.
-func closed(before map[string]string) error {
+func closed(before map[string]string, within time.Duration) error {
 	var left map[string]string
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(look) {
 		if left = descriptors(); len(left) <= len(before) {
--- a/internal/stand/leaks/leaks_test.go
+++ b/internal/stand/leaks/leaks_test.go
@@ -29,11 +29,8 @@
 	if clean.end(); len(clean.errors) != 0 {
 		t.Errorf("a test that left nothing: %v", clean.errors)
 	}
-	if testing.Short() {
-		return // what follows waits for its time
-	}
 	dirty, stop := &watched{TB: t}, make(chan struct{})
-	Check(dirty)
+	check(dirty, 100*time.Millisecond)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
