Count an attempt's time from the decision; give tests of the program settings that can be served

TestUnusableSettingsAreABug expected the module's words for a negative rate, and has the settings' own now. TestPatienceShorterThanAnAttempt failed once: an attempt's time began when the loop carried the decision out, not when the module took it, so a loop held up for 5 ms in between had the request failed before the attempt's end let the module refuse it. It counts from the decision now; TestLoopIsSlowBetweenDecidingAndSending fails without that (seen).

TestSighup waits for a call with a bound, as it hung where the program had ended. No expectation was eased.

--- a/cmd/sloepick/main_test.go
+++ b/cmd/sloepick/main_test.go
@@ -57,7 +57,7 @@
 }
 
 const config = `{"name":"n0","listen":"%s","discovery":"%s","seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":128},
-"known":{},"settings":{"Instances":1,"Rank":0,"Limits":{"SendCap":1},"Safety":{},
+"known":{},"settings":{"Instances":1,"Rank":0,"Limits":{"SendCap":1,"ConnectTimeoutNs":250000000},"Safety":{},
 "Classes":[{"Name":"look","Effect":"safe","AimNs":1000000000}],"TiersOfService":[{"Name":"p"}]}}`
 
 // SIGTERM ends the program with exit code 0 and its connections in order.
@@ -142,9 +142,18 @@
 		t.Fatal(err)
 	}
 	defer cmd.Process.Kill()
-	if got := <-called; got != "first" {
-		t.Fatalf("%s was asked", got)
+	asked := func(want string) {
+		t.Helper()
+		select {
+		case got := <-called:
+			if got != want {
+				t.Fatalf("%s was asked", got)
+			}
+		case <-time.After(20 * time.Second): // the program has ended, or does not ask
+			t.Fatalf("%s was not asked", want)
+		}
 	}
+	asked("first")
 	reload := func(text string) {
 		path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-2], "GW_CONFIG=")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -162,7 +171,5 @@
 		t.Fatal(log.Err())
 	}
 	reload(fmt.Sprintf(config, "127.0.0.1:0", second))
-	if got := <-called; got != "second" {
-		t.Errorf("%s was asked", got)
-	}
+	asked("second")
 }
--- a/cmd/wirehost/wire_test.go
+++ b/cmd/wirehost/wire_test.go
@@ -78,7 +78,7 @@
 func TestUnusableSettingsAreABug(t *testing.T) {
 	for edit, want := range map[string]string{
 		`"Rank":0|"Rank":5`:            "Rank is 5",
-		`"Refill":100|"Refill":-1`:     "Plans[0].Rate is -1",
+		`"Refill":100|"Refill":-1`:     "TiersOfService[0].Refill is -1",
 		`"Effect":"safe"|"Effect":"x"`: `unknown \"x\"`,
 		`"SendCap":3|"SendCap":"x"`:    "SendCap",
 	} {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,7 +13,7 @@
 		return
 	}
 	now := l.clock.Now()
-	a := &attempt{req: r, n: len(r.attempts), at: now, until: now + s.Timeout, writeBy: s.WriteBy, server: l.pool.servers[s.Server]}
+	a := &attempt{req: r, n: len(r.attempts), at: now, until: l.decided + s.Timeout, writeBy: s.WriteBy, server: l.pool.servers[s.Server]}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	if r.done {
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -176,3 +176,38 @@
 		t.Errorf("told were the versions %v, and %d behind them", versions, len(told))
 	}
 }
+
+// slowHand is a clock that moves on each time it is read.
+type slowHand struct {
+	now  time.Duration
+	step time.Duration
+}
+
+func (h *slowHand) Now() time.Duration {
+	h.now += h.step
+	return h.now
+}
+
+// TestLoopIsSlowBetweenDecidingAndSending: the loop is held up between the module's decision and the attempt, by more than the time
+// after which a request that was left open is failed. The attempt ends by the time that the module meant, so the request ends by the module.
+func TestLoopIsSlowBetweenDecidingAndSending(t *testing.T) {
+	cfg, w, clock := SmallConfig(t, long, []ServerEntry{{ID: "s", Addr: "127.0.0.1:1", State: "up", Weight: 1}}), &wire{}, &slowHand{now: time.Hour}
+	cfg.Back = w
+	l, err := newLoop(cfg, clock, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock.step = 2 * overdueAfter
+	a, handle := open(l, "id")
+	clock.step = 0
+	attempt := handle.r.attempts[0]
+	if attempt.until >= handle.r.overdue.at {
+		t.Errorf("the attempt ends %v behind the time at which its request is failed", attempt.until-handle.r.overdue.at)
+	}
+	attempt.placed, attempt.whole = true, true
+	clock.now = handle.r.overdue.at
+	l.ring()
+	if len(a.ends) != 1 || a.ends[0].Kind != Refused {
+		t.Errorf("the client got %+v, want a refusal: the class is safe to repeat", a.ends)
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -27,6 +27,7 @@
 	peers          Peers // nil where messages are not allowed
 	alarms         alarms
 	todo           []decide.Event
+	decided        time.Duration // when the module was last asked: times that it tells count from then
 	requests       map[string]*request
 	ids            map[string]struct{} // of the requests that are owed an answer, as their clients named them
 	nextID         uint64
@@ -180,7 +181,8 @@
 			l.restart(core)
 		}
 	}()
-	actions = core.Handle(l.clock.Now(), ev)
+	l.decided = l.clock.Now()
+	actions = core.Handle(l.decided, ev)
 	if l.tap != nil {
 		l.tap(ev, actions)
 	}
