--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -14,7 +14,7 @@
 	"time"
 )
 
-const playLimit = 110 * time.Second
+const playLimit = 95 * time.Second
 
 // scenario plays a case and reports what it found broken; an error says why it could not be played.
 type scenario func(s *site, trouble bool) (broken []string, err error)
@@ -41,6 +41,8 @@
 		return 2
 	}
 	defer rec.close()
+	signals := make(chan os.Signal, 1) // before the first process starts: a signal must not leave it behind
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	s, err := newSite(rec)
 	defer s.close()
 	if err != nil {
@@ -58,8 +60,6 @@
 		broken, err := scenarios[os.Args[1]](s, trouble)
 		done <- result{broken, err}
 	}()
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	var r result
 	select {
 	case r = <-done:
--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -19,7 +19,7 @@
 	gateways    = 3
 	servers     = 10
 	cells       = 3
-	readyWithin = 30 * time.Second
+	readyWithin = 20 * time.Second
 )
 
 // site is a small deployment: three gateways as processes, ten servers in three cells, and discovery.
