Keep answers that become ready together for a client instead of closing on it

Cause: the bound on unread answers (Clients.MaxUnreadBytes, 1 MiB) was compared with what the gateway had encoded, before any of it had been offered to the kernel. The same check also closed while an earlier write was in progress: commands counted as answered once encoded, so the reader went on reading.

Change: what a client has not taken no longer closes it; it holds back its commands. Answers stay in their order until the writer takes them, at most 64 KiB and one answer at a time, and count as held until written; while a connection holds more than the bound, its reader posts no further command. A client that takes nothing for Clients.WriteTimeout is closed as before. New: all connections together hold at most the share Clients.MemoryShare of the memory limit; over it the clients that have not read for longest are closed, and where none has stalled for 250 ms an answer that would have to wait becomes a whole "-ERR". What can be written at once needs no room, so clients that don't read can't cost the others their answers.

Tests: TestAnswersReadyTogetherAreDelivered and TestAnswersReadyDuringWriteAreDelivered, seen to fail on the old code (EOF before the first answer; unexpected EOF in the second). The former TestClientThatReadsNothing asked for a close as soon as 1 MiB is queued in one turn, which is the fault; the new one drives the reader too and holds as much: held bytes bounded, commands not read further, the client closed and its state released. TestClientsThatReadNothingShareTheMemory adds the bound over 60 such clients and the answers of a client beside them.

--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -40,6 +40,7 @@
 	accepting      int                            // number of frontends that still accept connections
 	acceptFailures *failureLog
 	requestBytes   int           // held by open requests
+	unsent         unsentTotal   // responses that clients have not taken
 	batch          []func()      // last batch of the inbox, for reuse
 	deferred       []func()      // to be called at the end of the turn
 	closingCh      chan struct{} // closed when the gateway accepts no new connections any more
@@ -61,7 +62,8 @@
 
 func newLoop(cfg Config, clock Clock, log *slog.Logger) (*eventLoop, error) {
 	l := &eventLoop{cfg: cfg, log: log, clock: clock, inbox: newInbox(), requests: map[string]*requestState{},
-		clientIDs: map[string]struct{}{}, clients: map[ClientConn]uint64{}, tuning: &atomic.Pointer[tuning.Tuning]{}, closingCh: make(chan struct{})}
+		clientIDs: map[string]struct{}{}, clients: map[ClientConn]uint64{},
+		unsent: unsentTotal{holders: map[*UnsentResponses]struct{}{}}, tuning: &atomic.Pointer[tuning.Tuning]{}, closingCh: make(chan struct{})}
 	if cfg.Tuning == (tuning.Tuning{}) {
 		cfg.Tuning = tuning.Default()
 	}
--- a/internal/gateway/stepper.go
+++ b/internal/gateway/stepper.go
@@ -81,6 +81,7 @@
 type Stats struct {
 	Requests     int // open, or with an attempt in progress
 	RequestBytes int // held by open requests
+	UnsentBytes  int // of responses that clients have not taken
 	Clients      int // connections of clients
 	Servers      int // in the server table
 	ServerConns  int // connections to servers, open or being established
@@ -90,5 +91,5 @@
 // Stats returns the current counts.
 func (s *Stepper) Stats() Stats {
 	l := s.l
-	return Stats{len(l.requests), l.requestBytes, len(l.clients), len(l.pool.servers), l.pool.conns, len(l.timers)}
+	return Stats{len(l.requests), l.requestBytes, l.unsent.bytes, len(l.clients), len(l.pool.servers), l.pool.conns, len(l.timers)}
 }
--- a/internal/gateway/submit.go
+++ b/internal/gateway/submit.go
@@ -9,8 +9,9 @@
 
 // This file holds the life cycle of a request: from its submission to its single final response.
 
-// maxRequestBytes is the memory limit, in bytes, for the contents of all open requests together.
-func (l *eventLoop) maxRequestBytes() int {
+// memoryShareBytes is the limit, in bytes, for the contents of all open requests together, and also the limit for all
+// responses that clients have not taken.
+func (l *eventLoop) memoryShareBytes() int {
 	return int(float64(l.cfg.MemoryMB<<20) * l.tuning.Load().Clients.MemoryShare)
 }
 
@@ -22,7 +23,7 @@
 		return nil
 	}
 	maxOpen := l.cfg.Settings.MaxOpen
-	if !l.mayAcceptRequests() || l.requestBytes+v.size() > l.maxRequestBytes() || (maxOpen > 0 && len(l.requests) >= maxOpen) {
+	if !l.mayAcceptRequests() || l.requestBytes+v.size() > l.memoryShareBytes() || (maxOpen > 0 && len(l.requests) >= maxOpen) {
 		responder.Respond(Response{Kind: Refused, RetryAfter: l.cfg.Settings.Decide.Limits.MaxRetryAfter})
 		return nil
 	}
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -12,7 +12,7 @@
 	"github.com/tidwall/redcon"
 )
 
-// maxReadAhead is the number of bytes up to which a reader buffers commands while the pipeline is full; it holds some
+// maxReadAhead is the number of bytes up to which a reader buffers commands while the intake is full; it holds some
 // hundred small commands. Reading ahead detects that a client has closed its connection. Beyond the limit, data stays
 // in the kernel's buffers and the client blocks.
 const maxReadAhead = 16 << 10
@@ -20,11 +20,11 @@
 // reader reads the commands of one connection and posts them to the loop. It runs in its own goroutine.
 type reader struct {
 	client        *client
-	buf           []byte    // not posted yet: an incomplete command, or complete ones while the pipeline is full
+	buf           []byte    // not posted yet: an incomplete command, or complete ones while the intake is full
 	args          [][]byte  // reused for the arguments of the next command
 	timerStart    time.Time // time of the reader's start, of the last complete command, or of the first byte in buf
 	gotCommand    bool      // at least one complete command was read
-	blocked       bool      // buf waits for room in the pipeline
+	blocked       bool      // buf waits for room in the intake
 	extraReadUsed bool      // a timeout was extended once because the receive queue was not empty
 }
 
@@ -34,7 +34,7 @@
 
 // run reads until the client closes the connection, violates the protocol or exceeds a timeout. A single read
 // deadline implements all timeouts. The loop wakes the reader by setting a read deadline in the past, after it has
-// set draining or decremented unanswered. A deadline that the reader sets can overwrite that one, so the reader
+// set draining or made room in the intake. A deadline that the reader sets can overwrite that one, so the reader
 // checks both after each call of SetReadDeadline.
 func (r *reader) run() {
 	for {
@@ -44,7 +44,7 @@
 		}
 		deadline := r.deadline()
 		err := r.client.conn.SetReadDeadline(deadline)
-		if r.blocked && !r.pipelineFull() {
+		if r.blocked && !r.client.intake.full() {
 			continue
 		}
 		if r.client.draining.Load() && len(r.buf) == 0 && r.client.writer.ReceiveQueueEmpty() {
@@ -69,7 +69,7 @@
 // handleTimeout handles an expired deadline. It reports false if the reader must stop.
 func (r *reader) handleTimeout() (keepReading bool) {
 	switch {
-	case r.blocked || len(r.buf) == 0 && r.client.unanswered.Load() > 0: // the client is waiting for replies
+	case r.blocked || len(r.buf) == 0 && r.client.intake.repliesOwed():
 	case !r.extraReadUsed && !r.client.writer.ReceiveQueueEmpty():
 		// A read past its deadline returns no data, even if some has arrived. It may be a complete request, and closing
 		// now would reset the connection and lose it.
@@ -97,13 +97,8 @@
 	return r.timerStart.Add(limits.ReadTimeout)
 }
 
-// pipelineFull reports whether the number of unanswered commands has reached its limit.
-func (r *reader) pipelineFull() bool {
-	return r.client.unanswered.Load() >= r.client.maxUnanswered.Load()
-}
-
 // readMore reads available bytes into the buffer. If the buffer is full of commands that wait for room in the
-// pipeline, it waits for room instead.
+// intake, it waits for room instead.
 func (r *reader) readMore() error {
 	if r.blocked && len(r.buf) >= maxReadAhead {
 		if _, ok := r.client.resume.Receive(); !ok {
@@ -122,11 +117,13 @@
 	return err
 }
 
-// dispatch posts the complete commands in the buffer if the pipeline has room.
+// dispatch posts the complete commands in the buffer if the intake has room.
 func (r *reader) dispatch() error {
-	// Stored before unanswered grows, so that the loop wakes the reader at the same limit.
-	r.client.maxUnanswered.Store(int32(r.client.core.Tuning().Clients.MaxPipeline))
-	r.blocked = len(r.buf) > 0 && r.pipelineFull()
+	// Stored before unanswered grows, so that the loop wakes the reader at the same limits.
+	limits, intake := &r.client.core.Tuning().Clients, &r.client.intake
+	intake.maxUnanswered.Store(int32(limits.MaxPipeline))
+	intake.maxHeldBytes.Store(int64(limits.MaxUnreadBytes))
+	r.blocked = len(r.buf) > 0 && intake.full()
 	if r.blocked || len(r.buf) == 0 {
 		return nil
 	}
@@ -165,7 +162,7 @@
 	if len(batch.commands) == 0 && !batch.last {
 		return
 	}
-	r.client.unanswered.Add(int32(len(batch.commands)))
+	r.client.intake.unanswered.Add(int32(len(batch.commands)))
 	r.client.core.Post(func() { r.client.handleBatch(batch) })
 }
 
--- /dev/null
+++ b/internal/resp/unread_test.go
@@ -0,0 +1,192 @@
+package resp
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"sloepick/internal/gateway"
+	"sloepick/internal/testbed"
+	"sloepick/internal/tuning"
+)
+
+// longValue returns a value of the maximum size that differs for each n.
+func longValue(n int) string {
+	s := fmt.Sprintf("%d ", n)
+	return s + strings.Repeat("x", gateway.MaxPayloadSize-len(s))
+}
+
+// bulk returns a value as the gateway encodes it for a client.
+func bulk(value string) string { return string(redcon.AppendBulkString(nil, value)) }
+
+// sendLongCommands sends n commands at once, in a goroutine, each of which is answered with its long value.
+func sendLongCommands(conn net.Conn, n int) {
+	var commands strings.Builder
+	for i := range n {
+		commands.WriteString(encodeCommand("PING", longValue(i)))
+	}
+	go io.WriteString(conn, commands.String())
+}
+
+// readLongValues reads the answers to sendLongCommands, with a pause after each, and reports the first one that is not
+// as expected.
+func readLongValues(conn io.Reader, n int, pause time.Duration) error {
+	for i := range n {
+		want := bulk(longValue(i))
+		got := make([]byte, len(want))
+		if _, err := io.ReadFull(conn, got); err != nil {
+			return fmt.Errorf("answer %d: %w", i, err)
+		}
+		if string(got) != want {
+			return fmt.Errorf("answer %d begins with %.20q", i, got)
+		}
+		time.Sleep(pause)
+	}
+	return nil
+}
+
+// runClient runs the harness until the client's part is done, and then closes the connection.
+func (h *harness) runClient(c *client, clientPart func() error) {
+	h.t.Helper()
+	done := make(chan error, 1)
+	go func() {
+		done <- clientPart()
+		h.Core().Post(c.Close)
+	}()
+	h.waitFor("the client's part", func() bool { return c.closed })
+	if err := <-done; err != nil {
+		h.t.Error(err)
+	}
+}
+
+// Guards against a client being cut off, with all of its requests unanswered, when the answers that waited for a slow
+// one become ready together and exceed Clients.MaxUnreadBytes.
+func TestAnswersReadyTogetherAreDelivered(t *testing.T) {
+	const n = 50
+	h := newHarness(t, longAim)
+	slow, c, peer := h.openRequest("slow")
+	sendLongCommands(peer, n)
+	limit := h.tuning.Clients.MaxUnreadBytes
+	h.waitFor("answers over the limit", func() bool { return int(c.intake.heldBytes.Load()) > limit })
+	mustWrite(t, h.completeDial(slow), testbed.FormatReply("first"))
+	h.runClient(c, func() error {
+		rd := bufio.NewReader(peer)
+		first := make([]byte, len(bulk("first")))
+		if _, err := io.ReadFull(rd, first); err != nil {
+			return err
+		}
+		return readLongValues(rd, n, 0)
+	})
+}
+
+// Guards against a client being cut off when more answers become ready while a write to it is in progress.
+func TestAnswersReadyDuringWriteAreDelivered(t *testing.T) {
+	const n = 40
+	h := newHarness(t, longAim)
+	gatewayEnd, peer := connPairWithSmallBuffer(t)
+	c := acceptClient(h.Core(), gatewayEnd)
+	sendLongCommands(peer, n)
+	limit := h.tuning.Clients.MaxUnreadBytes
+	h.waitFor("answers over the limit", func() bool { return c.writer.Busy() && int(c.intake.heldBytes.Load()) > limit })
+	h.runClient(c, func() error { return readLongValues(peer, n, 0) })
+}
+
+// Guards against a client that sends commands and reads nothing: what the gateway holds for it must stay bounded, its
+// further commands must not be read, and it must be given up.
+func TestClientThatReadsNothing(t *testing.T) {
+	h := newHarness(t, longAim)
+	h.updateTuning(func(t *tuning.Tuning) { t.Clients.WriteTimeout = 100 * time.Millisecond })
+	gatewayEnd, peer := connPairWithSmallBuffer(t)
+	c := acceptClient(h.Core(), gatewayEnd)
+	sendLongCommands(peer, 1000)
+	most := 0
+	h.waitFor("the close", func() bool {
+		most = max(most, h.Stats().UnsentBytes)
+		return c.closed
+	})
+	// The batch that fills the intake, and the chunk that is being written, come on top.
+	if bound := h.tuning.Clients.MaxUnreadBytes + 4*writeChunkSize; most > bound {
+		t.Errorf("%d bytes were held for a client that reads nothing, want %d at most", most, bound)
+	}
+	if f := h.Stats(); f.Clients != 0 || f.UnsentBytes != 0 {
+		t.Errorf("left over: %+v", f)
+	}
+}
+
+// Guards against clients that read nothing filling the memory together, and costing other clients their answers.
+func TestClientsThatReadNothingShareTheMemory(t *testing.T) {
+	const others = 60
+	h := newHarness(t, longAim)
+	h.updateTuning(func(t *tuning.Tuning) { t.Clients.WriteTimeout = testTimeout })
+	reply := redcon.AppendBulk(nil, bytes.Repeat([]byte("x"), gateway.MaxPayloadSize))
+	var idle []*client
+	most := 0
+	for range others {
+		gatewayEnd, _ := connPairWithSmallBuffer(t)
+		c := newClient(h.Core(), gatewayEnd)
+		h.Core().AdmitConn(c)
+		idle = append(idle, c)
+		for range h.tuning.Clients.MaxPipeline {
+			c.handleBatch(commandBatch{commands: []parsedCommand{{reply: reply}}})
+			most = max(most, h.Stats().UnsentBytes)
+		}
+	}
+	share := int(h.tuning.Clients.MemoryShare * harnessMemoryMB * (1 << 20))
+	if bound := share + others*2*writeChunkSize; most > bound {
+		t.Errorf("%d bytes were held, want %d at most", most, bound)
+	}
+	if most < share/2 {
+		t.Fatalf("only %d bytes were held: the limit is not tested", most)
+	}
+	c, peer := h.connect("")
+	sendLongCommands(peer, 1)
+	h.runClient(c, func() error { return readLongValues(peer, 1, 0) })
+
+	h.clock.now.Add(int64(evictableStallInTests)) // the others count as not reading now: they make room
+	slow, c, peer := h.openRequest("slow")
+	sendLongCommands(peer, 50)
+	h.waitFor("answers over the limit", func() bool { return int(c.intake.heldBytes.Load()) > h.tuning.Clients.MaxUnreadBytes })
+	mustWrite(t, h.completeDial(slow), testbed.FormatReply("first"))
+	h.runClient(c, func() error {
+		if _, err := io.ReadFull(peer, make([]byte, len(bulk("first")))); err != nil {
+			return err
+		}
+		return readLongValues(peer, 50, 0)
+	})
+	for _, c := range idle {
+		c.Close()
+	}
+	if f := h.Stats(); f.UnsentBytes != 0 || f.Clients != 0 {
+		t.Errorf("left over: %+v", f)
+	}
+}
+
+// evictableStallInTests is longer than the time after which a client that does not read may be closed for its memory.
+const evictableStallInTests = time.Second
+
+// A command whose answer does not fit into the memory must get a whole answer, in its place, that says so.
+func TestAnswerWithoutRoomBecomesError(t *testing.T) {
+	h := newHarness(t, longAim)
+	other, _ := h.connect("")
+	other.unsent.Set(int(h.tuning.Clients.MemoryShare * harnessMemoryMB * (1 << 20))) // as if it held all memory
+	slow, c, peer := h.openRequest("slow")
+	sendLongCommands(peer, 2)
+	h.waitFor("the answers", func() bool { return len(c.pending) == 3 })
+	mustWrite(t, h.completeDial(slow), testbed.FormatReply("first"))
+	want := bulk("first") + strings.Repeat("-ERR "+gateway.UnsentLimitResponse().Reason+"\r\n", 2)
+	h.runClient(c, func() error {
+		got := make([]byte, len(want))
+		if _, err := io.ReadFull(peer, got); err != nil || string(got) != want {
+			return fmt.Errorf("got %.200q, %v", got, err)
+		}
+		return nil
+	})
+	other.Close()
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -23,9 +23,9 @@
 	WriteTimeout         time.Duration // a connection whose client reads nothing for this long is closed
 	ProtocolErrorTimeout time.Duration // a connection is closed this long after a protocol error, even with open requests
 	MaxPipeline          int           // outstanding answers of a connection; beyond them no further command is read
-	MaxUnreadBytes       int           // unread answers, in bytes, beyond which the connection is closed
+	MaxUnreadBytes       int           // answers that a client has not taken, in bytes, beyond which no further command of it is read
 	DescriptorShare      float64       // share of the descriptors
-	MemoryShare          float64       // share of the memory limit for open commands
+	MemoryShare          float64       // share of the memory limit for open commands, and the same share for answers that clients have not taken
 	AcceptAhead          int           // connections accepted before the event loop has counted them
 }
 
@@ -69,11 +69,11 @@
 			{Name: "pipeline", Kind: operator.Count, Default: "64", Min: "1", Max: "1024", Strictness: operator.HigherIsLooser,
 				Doc: "Answers owed on one connection; further commands wait to be read."},
 			{Name: "unread", Kind: operator.Size, Default: "1MiB", Min: "128KiB", Max: "64MiB", Strictness: operator.HigherIsLooser,
-				Doc: "Bytes of answers that a client may leave unread before it is given up."},
+				Doc: "Bytes of answers that wait for a client; beyond them its further commands wait to be read. It is given up only after `write`."},
 			{Name: "descriptors", Kind: operator.Share, Default: "50%", Min: "10%", Max: "90%", Strictness: operator.HigherIsLooser,
 				Doc: "Share of the descriptors for clients' connections; over it the one quiet for longest is closed."},
 			{Name: "held", Kind: operator.Share, Default: "25%", Min: "1%", Max: "50%", Strictness: operator.HigherIsLooser,
-				Doc: "Share of the memory limit that open commands may take; over it new requests are refused."},
+				Doc: "Share of the memory limit that open commands may take; over it new requests are refused. Answers that clients have not taken may hold the same share; over it clients that don't read are given up, and where there is none, an answer that would have to wait becomes an error."},
 			{Name: "accept-ahead", Kind: operator.Count, Default: "16", Min: "1", Max: "1024", Applied: operator.AtRestart,
 				Doc: "Connections taken before the core has counted them."},
 		},
