Let the kernel hold 128 KiB beyond a client's window, so that slow reading is seen

What callers saw: a client that reads steadily, but more slowly than its answers come, was closed as one that reads nothing (Clients.WriteTimeout), with the rest of its answers lost.

Cause: a write counts as stalled when the kernel takes nothing for the time-out. The kernel takes up to megabytes for a connection and is writable again only when a third of its send buffer is free, so between two writes the client has to read that third.

Change: TCP_NOTSENT_LOWAT on clients' connections. The kernel then asks for more as soon as it has less than half of 128 KiB that the client's receive window does not allow yet. It also bounds what the kernel holds for a client that does not read.

--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -6,10 +6,16 @@
 	"os"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
-// maxWriteSteps limits how long a peer that reads only a little at a time can hold a connection.
-const maxWriteSteps = 15
+const (
+	// maxWriteSteps limits how long a peer that reads only a little at a time can hold a connection.
+	maxWriteSteps = 15
+	// maxKernelUnsent is the number of bytes that the kernel takes for a client beyond what its receive window allows.
+	maxKernelUnsent = 128 << 10
+)
 
 // Writer writes to a connection without blocking the event loop. It writes at once what the kernel accepts; a
 // goroutine with a time limit writes the rest if the peer is slow.
@@ -30,6 +36,18 @@
 	return w
 }
 
+// NewClientWriter creates a Writer for a client's connection. Without a limit, the kernel takes megabytes for a slow
+// client and then nothing until a third of them has been sent, which looks as if the client had stopped reading.
+func NewClientWriter(c net.Conn) *Writer {
+	w := NewWriter(c)
+	if w.raw != nil {
+		_ = w.raw.Control(func(fd uintptr) { // where it is not supported, only very slow clients are affected
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxKernelUnsent)
+		})
+	}
+	return w
+}
+
 // TryWrite writes as much as the kernel accepts at once. Writing nothing is not an error.
 func (w *Writer) TryWrite(b []byte) (n int, err error) {
 	if w.raw == nil {
--- a/internal/resp/client.go
+++ b/internal/resp/client.go
@@ -41,7 +41,7 @@
 
 func newClient(core *gateway.Core, nc net.Conn) *client {
 	now := core.Now()
-	c := &client{core: core, conn: nc, writer: gateway.NewWriter(nc), acceptedAt: now, lastUsed: now, resume: gateway.NewMailbox[struct{}]()}
+	c := &client{core: core, conn: nc, writer: gateway.NewClientWriter(nc), acceptedAt: now, lastUsed: now, resume: gateway.NewMailbox[struct{}]()}
 	c.unsent = core.NewUnsentResponses(c)
 	return c
 }
--- a/internal/resp/unread_test.go
+++ b/internal/resp/unread_test.go
@@ -98,6 +98,17 @@
 	h.runClient(c, func() error { return readLongValues(peer, n, 0) })
 }
 
+// Guards against a client that reads steadily, but more slowly than its answers come, being taken for one that does
+// not read because the kernel holds many of its answers and asks for more only after a large part of them.
+func TestSteadyReaderGetsAllAnswers(t *testing.T) {
+	const n = 100
+	h := newHarness(t, longAim)
+	h.updateTuning(func(t *tuning.Tuning) { t.Clients.WriteTimeout = 150 * time.Millisecond })
+	c, peer := h.connect("")
+	sendLongCommands(peer, n)
+	h.runClient(c, func() error { return readLongValues(peer, n, 30*time.Millisecond) })
+}
+
 // Guards against a client that sends commands and reads nothing: what the gateway holds for it must stay bounded, its
 // further commands must not be read, and it must be given up.
 func TestClientThatReadsNothing(t *testing.T) {
