Count acknowledged bytes as progress of a slow client

Cause: the kernel accepts more only when half of what it holds has been sent, and a slow client's receive window opens in steps of up to 64 KiB on loopback, so two steps can lie between two accepted writes.

Change: a period of a slow write in which the peer has acknowledged bytes (TCP_INFO) counts as progress, as one in which the kernel accepted some did. A client that reads nothing is given up after the first period with neither, which is one to two periods after it stopped.

--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -86,6 +86,20 @@
 	return opErr == nil && errors.Is(err, syscall.EAGAIN)
 }
 
+// bytesAcknowledged returns the number of bytes that the peer has acknowledged since the connection was established, or
+// 0 if the kernel does not tell.
+func (w *Writer) bytesAcknowledged() (n uint64) {
+	if w.raw == nil {
+		return 0
+	}
+	_ = w.raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = info.Bytes_acked
+		}
+	})
+	return n
+}
+
 // Busy reports that an asynchronous write is in progress.
 func (w *Writer) Busy() bool { return w.busy }
 
@@ -96,25 +110,34 @@
 	w.writeAsync(rest, within, 1, core, done)
 }
 
-// WriteAsyncUntilStall is WriteAsync for a peer that may be slow. It fails if the peer accepts no data for the
-// duration stall, or has not accepted all data after maxWriteSteps times stall.
+// WriteAsyncUntilStall is WriteAsync for a peer that may be slow. It fails if the peer takes no data during one of
+// the consecutive periods of the duration stall, or if the kernel has not accepted all data after maxWriteSteps
+// periods.
 func (w *Writer) WriteAsyncUntilStall(rest []byte, stall time.Duration, core *Core, done func(error)) {
 	w.writeAsync(rest, stall, maxWriteSteps, core, done)
 }
 
-// writeAsync writes in at most that many steps, each with its own time limit. Every step but the last must make
-// progress.
+// writeAsync writes in at most that many steps, each with its own time limit. In every step but the last, the kernel
+// must accept data or the peer must acknowledge some: a slow peer may acknowledge data for a while before the kernel
+// accepts more.
 func (w *Writer) writeAsync(rest []byte, within time.Duration, steps int, core *Core, done func(error)) {
 	w.busy = true
 	go func() {
 		var err error
+		acknowledged := w.bytesAcknowledged()
 		for ; steps > 0 && len(rest) > 0; steps-- {
 			if err = w.conn.SetWriteDeadline(time.Now().Add(within)); err != nil {
 				break
 			}
 			n := 0
 			n, err = w.conn.Write(rest)
-			if rest = rest[n:]; err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+			if rest = rest[n:]; err == nil {
+				continue
+			}
+			before := acknowledged
+			acknowledged = w.bytesAcknowledged()
+			stalled := n == 0 && acknowledged == before
+			if stalled || !errors.Is(err, os.ErrDeadlineExceeded) {
 				break
 			}
 		}
