Keep an HTTP/2 client's responses until it takes them instead of failing its connection

What callers saw: a client whose responses became ready faster than it took them lost its connection, and with it every open request. With its connection window closed this came at 1 MiB of unsent bodies (ENHANCE_YOUR_CALM); with large windows at 1 MiB of frames, a close with no GOAWAY, even if nothing had been offered to the kernel yet.

And a response was reset 2 s after it was ready however steadily the client took the others.

Change: a server frames DATA only as far as its output is taken (64 KiB); the rest stays in its stream, uncopied. The number of responses is bounded by MaxStreams, as a stream counts until its response is sent; their memory by the account over all connections that RESP2 uses, over which a stalled client is closed or a value becomes a failure. Frames that no window bounds stop the reading at Clients.MaxUnreadBytes. A stream is reset when the client has taken nothing on the connection for Clients.WriteTimeout, or 15 times that after its response was ready.

Tests: TestUnreadHTTP2ResponsesAreDelivered (usual and large window) and TestHTTP2ClientsThatReadNothingShareTheMemory; on the code before, all three lost the connection ("the request did not reach the core"). The script "the unsent bytes are bounded" of floods.txt held the failing of the connection, which is the fault; it now holds the bound in number (REFUSED_STREAM) and time (all reset after 2 s), and two more hold that a steady client gets all and that a trickling one is reset in the end. TestHTTP2RequestAfterConnectionFailure used the same limit to fail a connection in the middle of a chunk; it now uses a protocol error in that chunk, and still fails when the guard is taken out (2 requests accepted, want 1). The invariant on unsent bytes of conn_test.go holds for clients, which have the limit; a server's is in the tests above.

--- a/internal/h2/frontend.go
+++ b/internal/h2/frontend.go
@@ -5,6 +5,7 @@
 package h2
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -69,11 +70,12 @@
 	now := core.Now()
 	c := &clientConn{frontend: f, core: core, nc: nc, raw: nc, lastUsed: now, acceptedAt: now, requests: map[uint32]*openRequest{},
 		resumeRead: gateway.NewMailbox[struct{}]()}
+	c.unsent = core.NewUnsentResponses(c)
 	if !core.AdmitConn(c) {
 		nc.Close() // no request was read from it
 		return
 	}
-	c.writer = gateway.NewWriter(nc)
+	c.writer = gateway.NewClientWriter(nc)
 	c.rawWriter = c.writer
 	if f.tls != nil {
 		c.nc = tls.Server(nc, f.tls.config())
@@ -104,10 +106,12 @@
 	acceptedAt      time.Duration
 	lastUsed        time.Duration
 	resumeRead      gateway.Mailbox[struct{}] // lets readLoop continue
-	pending         []byte                    // to be written after what writer is writing
-	flushScheduled  bool                      // flush runs at the end of this loop turn
-	writeClosed     bool                      // nothing more is written
-	closeAfterFlush bool                      // to be closed once everything is written
+	readWaits       bool                      // readLoop has not been told to continue
+	writing         int                       // bytes that the writer has yet to write
+	unsent          *gateway.UnsentResponses
+	flushScheduled  bool // flush runs at the end of this loop turn
+	writeClosed     bool // nothing more is written
+	closeAfterFlush bool // to be closed once everything is written
 	draining        bool
 	closed          bool
 	cancelTimer     func()
@@ -176,9 +180,15 @@
 	for _, e := range c.proto.Feed(c.core.Now(), b) {
 		c.handleEvent(e)
 	}
+	c.readWaits = true // after each chunk
 	c.scheduleFlush()
-	if !c.proto.Failed() {
-		c.resumeRead.TrySend(struct{}{}) // readLoop waits for this after each chunk
+}
+
+// resumeReading lets readLoop continue, unless the connection has failed or the client leaves too much output unread.
+func (c *clientConn) resumeReading() {
+	if c.readWaits && !c.proto.Failed() && c.proto.OutputBytes()+c.writing <= c.core.Tuning().Clients.MaxUnreadBytes {
+		c.readWaits = false
+		c.resumeRead.TrySend(struct{}{})
 	}
 }
 
@@ -233,6 +243,9 @@
 	}
 	r.done = true
 	delete(r.conn.requests, r.stream)
+	if !r.conn.hasRoom(len(res.Value)) {
+		res = gateway.UnsentLimitResponse()
+	}
 	out := newResponse(res)
 	if allowance, ok := r.conn.core.Allowance(r.req.Customer, r.req.Plan); ok && res.Kind != gateway.Rejected {
 		out.addQuotaFields(r.req.Plan, r.req.Units, allowance)
@@ -240,15 +253,27 @@
 	r.conn.sendResponse(r.stream, out)
 }
 
+// hasRoom reports whether there is memory for a response's value. A connection that holds nothing yet always has room for one.
+func (c *clientConn) hasRoom(n int) bool {
+	held := c.proto.BufferedBytes() + c.writing
+	return held == 0 || c.unsent.MakeRoom(n)
+}
+
 func (c *clientConn) sendResponse(stream uint32, resp *response) {
+	if c.closed {
+		return
+	}
 	c.proto.Respond(stream, resp.status, resp.fields, resp.body)
 	c.lastUsed = c.core.Now()
 	if c.proto.Failed() {
 		c.startClose()
 	}
+	c.updateUnsent()
 	c.scheduleFlush()
 }
 
+func (c *clientConn) updateUnsent() { c.unsent.Set(c.proto.BufferedBytes() + c.writing) }
+
 // scheduleFlush schedules one flush at the end of the loop turn, so that all output of the turn is written at once.
 func (c *clientConn) scheduleFlush() {
 	if !c.flushScheduled && !c.closed {
@@ -257,43 +282,58 @@
 	}
 }
 
+// flush writes the output, piece by piece, until the client takes no more. Then the rest stays in proto, and the end of the write
+// that is in progress, or a WINDOW_UPDATE, calls flush again.
 func (c *clientConn) flush() {
 	c.flushScheduled = false
+	c.proto.Advance(c.core.Now())
+	for !c.closed && !c.writer.Busy() {
+		output := c.proto.TakeOutput()
+		if len(output) == 0 {
+			break
+		}
+		c.write(output)
+	}
 	if c.closed {
 		return
 	}
-	c.pending = append(c.pending, c.proto.TakeOutput()...)
-	if len(c.pending) > c.core.Tuning().Clients.MaxUnreadBytes {
-		c.Close()
-		return
+	c.updateUnsent()
+	c.unsent.SetBlocked(c.proto.BufferedBytes()+c.writing > 0)
+	c.resumeReading()
+	if !c.writer.Busy() && (c.closeAfterFlush || c.draining && c.proto.Drained()) {
+		c.lingerClose()
 	}
-	if c.writer.Busy() {
+}
+
+// write writes output. What the kernel does not take at once is left to a goroutine, which gives up when the client takes
+// nothing for Clients.WriteTimeout.
+func (c *clientConn) write(output []byte) {
+	n, err := c.writer.TryWrite(output)
+	if err != nil {
+		c.Close()
 		return
 	}
-	n, err := 0, error(nil)
-	if len(c.pending) > 0 {
-		n, err = c.writer.TryWrite(c.pending)
+	c.unsent.Taken(n)
+	if n < len(output) {
+		rest := bytes.Clone(output[n:])
+		c.writing = len(rest)
+		c.writer.WriteAsyncUntilStall(rest, c.core.Tuning().Clients.WriteTimeout, c.core, c.finishWrite)
 	}
+}
+
+// finishWrite handles the end of a write that the kernel did not take at once.
+func (c *clientConn) finishWrite(err error) {
 	if err != nil {
 		c.Close()
-		return
 	}
-	if n < len(c.pending) {
-		rest := c.pending[n:]
-		c.pending = nil
-		c.writer.WriteAsyncUntilStall(rest, c.core.Tuning().Clients.WriteTimeout, c.core, func(err error) {
-			if err != nil {
-				c.Close()
-				return
-			}
-			c.flush()
-		})
+	if c.closed {
 		return
 	}
-	c.pending = c.pending[:0]
-	if c.closeAfterFlush || c.draining && c.proto.Drained() {
-		c.lingerClose()
-	}
+	c.unsent.Taken(c.writing)
+	c.writing = 0
+	c.proto.Advance(c.core.Now())
+	c.proto.MarkProgress()
+	c.flush()
 }
 
 // startClose abandons the open requests and closes the connection once the pending output is written.
@@ -334,7 +374,11 @@
 	if c.closed || c.proto.Failed() {
 		return
 	}
-	if c.proto.ResetStalled(now-t.WriteTimeout) > 0 {
+	c.proto.Advance(now)
+	if c.writer.Busy() { // its own limit tells whether the client still reads
+		c.proto.MarkProgress()
+	}
+	if c.proto.ResetStalled(t.WriteTimeout) > 0 {
 		c.scheduleFlush()
 	}
 	next := now + t.WriteTimeout
@@ -394,6 +438,7 @@
 	}
 	c.raw.Close()
 	c.resumeRead.Close()
+	c.unsent.Set(0)
 	c.abandonAll()
 	c.core.RemoveConn(c)
 }
--- a/internal/h2/wire/client.go
+++ b/internal/h2/wire/client.go
@@ -47,7 +47,7 @@
 		id = 1
 	}
 	c.lastStream = id
-	s := &stream{id: id, contentLength: -1, recvWindow: c.streamWindow(), sendWindow: c.peerInitialWindow, waitingSince: c.now, delivered: true, req: &Request{}}
+	s := &stream{id: id, contentLength: -1, recvWindow: c.streamWindow(), sendWindow: c.peerInitialWindow, openedAt: c.now, delivered: true, req: &Request{}}
 	c.streams[id] = s
 	c.encodeBuf.Reset()
 	for _, f := range fields {
--- a/internal/h2/wire/conn.go
+++ b/internal/h2/wire/conn.go
@@ -20,11 +20,13 @@
 	frameHeaderBytes      = 9
 	initialWindow         = 65535 // bytes, of a connection and, before SETTINGS, of a stream (RFC 9113, 6.9.2)
 	maxWindow             = 1<<31 - 1
-	hpackTableBytes       = 4096 // HPACK dynamic table, in both directions
-	maxBlockFrames        = 8    // a header block of DefaultLimits().MaxHeaderBlockBytes needs one or two
-	closedStreamsKept     = 128  // how many recently closed streams are remembered
-	shortDataBytes        = 256  // shorter DATA frames are charged as overhead, except a stream's first and last
-	overheadCreditPerData = 2    // tokens returned per DATA frame sent: the peer may answer it with two WINDOW_UPDATEs
+	hpackTableBytes       = 4096     // HPACK dynamic table, in both directions
+	maxBlockFrames        = 8        // a header block of DefaultLimits().MaxHeaderBlockBytes needs one or two
+	closedStreamsKept     = 128      // how many recently closed streams are remembered
+	shortDataBytes        = 256      // shorter DATA frames are charged as overhead, except a stream's first and last
+	overheadCreditPerData = 2        // tokens returned per DATA frame sent: the peer may answer it with two WINDOW_UPDATEs
+	maxBufferedOutput     = 64 << 10 // bytes of output from which on a server adds no DATA until TakeOutput is called
+	maxStallPeriods       = 15       // a response that is not sent after so many times the stall period is reset
 )
 
 // EventKind is the type of an Event.
@@ -75,7 +77,9 @@
 	recvWindow    int64 // flow-control window for received DATA
 	sendWindow    int64 // the peer's window, for DATA to send; may be negative
 	unsent        []byte
-	waitingSince  time.Duration // when it was opened or, later, responded to
+	openedAt      time.Duration
+	respondedAt   time.Duration
+	progressAt    time.Duration // when it was responded to or, later, when DATA was last sent
 	peerEnded     bool          // the peer sent END_STREAM
 	tooLarge      bool          // the request exceeds the limits: the rest of it is discarded
 	responded     bool          // the response HEADERS were sent
@@ -111,8 +115,9 @@
 	streams       map[uint32]*stream
 	lastStream    uint32 // server: highest stream opened by the peer; client: last stream opened here
 	closedStreams [closedStreamsKept]closedStream
-	sendQueue     []uint32 // streams with unsent body bytes, the next one first
-	unsentBytes   int      // of all streams
+	sendQueue     []uint32      // streams with unsent body bytes, the next one first
+	unsentBytes   int           // of all streams
+	progressAt    time.Duration // when the peer last showed that it takes output
 
 	recvWindow         int64 // the connection's window for received DATA
 	windowCredit       int64 // consumed bytes to return to the peer by WINDOW_UPDATE
@@ -179,14 +184,26 @@
 	return n, nil
 }
 
+// Advance sets the current time. Feed does the same.
+func (c *Conn) Advance(now time.Duration) { c.now = max(c.now, now) }
+
 // TakeOutput returns the bytes to write to the peer and empties the output buffer. The result is valid until the
-// connection is used again.
+// connection is used again. A server returns DATA piece by piece: the caller must call TakeOutput again once it has
+// written the result, until there is no more.
 func (c *Conn) TakeOutput() []byte {
+	c.sendPending()
 	b := c.output.Bytes()
 	c.output.Reset()
 	return b
 }
 
+// OutputBytes returns the number of bytes that TakeOutput would return at least.
+func (c *Conn) OutputBytes() int { return c.output.Len() }
+
+// BufferedBytes returns the number of bytes that are to be sent: the output, and bodies that wait for the peer's windows or
+// for the output to be taken.
+func (c *Conn) BufferedBytes() int { return c.output.Len() + c.unsentBytes }
+
 // OpenStreams returns how many streams are open or half closed.
 func (c *Conn) OpenStreams() int { return len(c.streams) }
 
@@ -195,7 +212,8 @@
 
 // Feed processes received bytes and returns the resulting events, which are valid until the next call.
 func (c *Conn) Feed(now time.Duration, p []byte) []Event {
-	c.now, c.events = max(c.now, now), c.events[:0]
+	c.Advance(now)
+	c.events = c.events[:0]
 	if !c.isClient && c.prefaceBytes < len(http2.ClientPreface) {
 		n := min(len(http2.ClientPreface)-c.prefaceBytes, len(p))
 		if string(p[:n]) != http2.ClientPreface[c.prefaceBytes:c.prefaceBytes+n] {
--- a/internal/h2/wire/headers.go
+++ b/internal/h2/wire/headers.go
@@ -206,7 +206,7 @@
 // openStream opens a stream for the request in the current header block.
 func (c *Conn) openStream() {
 	b := &c.block
-	s := &stream{id: b.stream, req: b.req, contentLength: b.contentLength, recvWindow: c.streamWindow(), sendWindow: c.peerInitialWindow, waitingSince: c.now}
+	s := &stream{id: b.stream, req: b.req, contentLength: b.contentLength, recvWindow: c.streamWindow(), sendWindow: c.peerInitialWindow, openedAt: c.now}
 	c.streams[s.id] = s
 	switch {
 	case b.listSize > c.limits.MaxHeaderListBytes:
--- a/internal/h2/wire/limits.go
+++ b/internal/h2/wire/limits.go
@@ -7,7 +7,7 @@
 	ConnWindow          int // bytes; receive window for all bodies that are not complete yet
 	MaxHeaderListBytes  int // decoded field list, counted as in RFC 9113, 6.5.2
 	MaxHeaderBlockBytes int // encoded header block, over all its frames
-	MaxUnsentBytes      int // bodies to send that wait for the peer's windows
+	MaxUnsentBytes      int // client only: bodies to send that wait for the peer's windows
 	Overhead            OverheadBudget
 }
 
