Count the time to take an HTTP/2 response from when it is ready

What callers saw: the response to a request that took longer than Clients.WriteTimeout (2 s) could be reset with CANCEL at once, if it did not fit into the stream's window.

Cause: the connection's state machine took the time of the client's last frame for the time of the response, so the wait for the client began before there was anything to take. Evidence: TestSlowHTTP2ResponseHasItsTimeToBeTaken got RST_STREAM with CANCEL on the code before, and the response with this change.

Change: the frontend passes the time before it responds.

--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/net/http2"
+
 	"sloepick/internal/gateway"
 	"sloepick/internal/testbed"
 	"sloepick/internal/testbed/faultconn"
@@ -21,9 +23,9 @@
 }
 
 // newH2Peer opens a connection. addedWindow is added to the connection's flow-control window.
-func (r *scenario) newH2Peer(addedWindow uint32) *h2Peer {
+func (r *scenario) newH2Peer(addedWindow uint32, set ...http2.Setting) *h2Peer {
 	r.t.Helper()
-	c, err := testbed.DialH2(r.addr, nil)
+	c, err := testbed.DialH2(r.addr, nil, set...)
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -116,6 +118,27 @@
 	}
 }
 
+// Guards against the response to a slow request being reset at once, because its time to be taken was counted from
+// when the client last sent something.
+func TestSlowHTTP2ResponseHasItsTimeToBeTaken(t *testing.T) {
+	leaks.Check(t)
+	r := newScenario(t, protocols(t)["HTTP/2"], &faultconn.Injector{}, false)
+	p := r.newH2Peer(0, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+	r.send(p)
+	r.clock.now.Add(int64(2 * tuning.Default().Clients.WriteTimeout))
+	r.answer(longResponse)
+	r.clock.now.Add(int64(tuning.Default().Clients.WriteTimeout / 2))
+	r.pump()
+	if err := p.Framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: longResponse}); err != nil {
+		t.Fatal(err)
+	}
+	if whole, _ := r.readResponses(p); whole != 1 {
+		t.Error("the response was not delivered")
+	}
+	p.Close()
+	r.shutDown()
+}
+
 // Guards against HTTP/2 clients that read nothing filling the memory together, and costing another client its
 // response.
 func TestHTTP2ClientsThatReadNothingShareTheMemory(t *testing.T) {
--- a/internal/h2/frontend.go
+++ b/internal/h2/frontend.go
@@ -263,6 +263,7 @@
 	if c.closed {
 		return
 	}
+	c.proto.Advance(c.core.Now())
 	c.proto.Respond(stream, resp.status, resp.fields, resp.body)
 	c.lastUsed = c.core.Now()
 	if c.proto.Failed() {
