Return the window of HTTP/2 nodes before their responses are complete

What callers saw: nothing yet, found while looking for places where a bound on what is not read ends in lost answers. A node that sends its responses in turns, a frame of each, would have hung with five of 64 KiB.

Cause: the gateway returned a node's connection window (256 KiB) only for complete responses, so several incomplete ones could use it up and wait for each other until their requests' time was over. Evidence: TestInterleavedResponsesAreReceived, both ends of package wire with 20 responses of 64 KiB: 1 received, the window 0, nothing left to send; all 20 with this change.

Change: under half of the window, what has arrived of incomplete responses counts as consumed. Their memory stays bounded by the requests that the gateway has open. A client's incomplete request bodies are bounded as before (256 KiB a connection).

--- a/internal/h2/wire/conn.go
+++ b/internal/h2/wire/conn.go
@@ -74,6 +74,7 @@
 	req           *Request
 	contentLength int64 // value of the content-length field; -1: none
 	bodyBytes     int64 // received bytes of the body, without those discarded
+	creditedBytes int64 // of bodyBytes; client only: already counted as consumed
 	recvWindow    int64 // flow-control window for received DATA
 	sendWindow    int64 // the peer's window, for DATA to send; may be negative
 	unsent        []byte
--- a/internal/h2/wire/data.go
+++ b/internal/h2/wire/data.go
@@ -97,9 +97,22 @@
 
 // returnWindow reopens the connection's receive window by the bytes that were consumed.
 func (c *Conn) returnWindow() {
+	if c.isClient && c.recvWindow < int64(c.limits.ConnWindow)/2 {
+		c.creditIncompleteBodies()
+	}
 	if c.windowCredit > 0 {
 		c.mustWrite(c.framer.WriteWindowUpdate(0, uint32(c.windowCredit)))
 		c.recvWindow += c.windowCredit
 		c.windowCredit = 0
 	}
 }
+
+// creditIncompleteBodies counts what has arrived of bodies that are not complete as consumed. Otherwise responses that are sent
+// in turns, a frame of each, could use up the window while none of them is complete. Their memory stays bounded by the number of
+// requests that this client has open.
+func (c *Conn) creditIncompleteBodies() {
+	for _, s := range c.streams {
+		c.windowCredit += s.bodyBytes - s.creditedBytes
+		s.creditedBytes = s.bodyBytes
+	}
+}
--- a/internal/h2/wire/reset.go
+++ b/internal/h2/wire/reset.go
@@ -48,7 +48,7 @@
 		c.sendQueue = slices.Delete(c.sendQueue, i, i+1)
 	}
 	if !s.delivered || c.isClient {
-		c.windowCredit += s.bodyBytes // a server returned it to the window when it delivered the request
+		c.windowCredit += s.bodyBytes - s.creditedBytes // a server returned it to the window when it delivered the request
 	}
 }
 
