Accept the WINDOW_UPDATEs for a long burst of DATA from an HTTP/2 client

What callers saw: with the limits on unread responses gone, a client with a large window that was sent many responses in one burst could lose its connection with ENHANCE_YOUR_CALM (TestUnreadHTTP2ResponsesAreDelivered, large window, once in six runs beside 16 busy loops: reset after 25 of 90 responses).

Cause: each DATA frame sent returns two tokens for the WINDOW_UPDATEs that answer it, but into the bucket for floods, where all over 200 are lost. A client that answers more than 100 frames at once ran out of tokens. The 1 MiB limit had kept bursts below that.

Change: tokens that the bucket has no room for are kept for WINDOW_UPDATEs alone, 4096 at most. Other frames are charged as before, and a flood of WINDOW_UPDATEs still ends the connection (the same test, TestFloods).

--- a/internal/h2/wire/conn.go
+++ b/internal/h2/wire/conn.go
@@ -25,6 +25,7 @@
 	closedStreamsKept     = 128      // how many recently closed streams are remembered
 	shortDataBytes        = 256      // shorter DATA frames are charged as overhead, except a stream's first and last
 	overheadCreditPerData = 2        // tokens returned per DATA frame sent: the peer may answer it with two WINDOW_UPDATEs
+	maxWindowUpdateCredit = 4096     // WINDOW_UPDATEs for DATA sent that the peer may have yet to send
 	maxBufferedOutput     = 64 << 10 // bytes of output from which on a server adds no DATA until TakeOutput is called
 	maxStallPeriods       = 15       // a response that is not sent after so many times the stall period is reset
 )
@@ -125,6 +126,7 @@
 	sendWindow         int64 // the peer's window for the connection
 	peerInitialWindow  int64 // the peer's SETTINGS_INITIAL_WINDOW_SIZE
 	overheadTokens     float64
+	windowUpdateCredit float64 // tokens for WINDOW_UPDATE alone: those returned while overheadTokens was full
 	overheadRefilledAt time.Duration
 
 	refuseAbove    uint32 // last stream named in the final GOAWAY: higher ones are ignored; 0: none was sent
@@ -346,6 +348,22 @@
 	return true
 }
 
+// creditDataFrame returns the tokens for the WINDOW_UPDATEs that the peer may send for a DATA frame.
+func (c *Conn) creditDataFrame() {
+	returned := min(overheadCreditPerData, max(0, c.limits.Overhead.Burst-c.overheadTokens))
+	c.overheadTokens += returned
+	c.windowUpdateCredit = min(maxWindowUpdateCredit, c.windowUpdateCredit+overheadCreditPerData-returned)
+}
+
+// chargeWindowUpdate takes a token for a WINDOW_UPDATE, as chargeOverhead does.
+func (c *Conn) chargeWindowUpdate() bool {
+	if c.windowUpdateCredit >= 1 {
+		c.windowUpdateCredit--
+		return true
+	}
+	return c.chargeOverhead(1)
+}
+
 // fail ends the connection with a GOAWAY as its last frame, whose debug data is reason. Streams with a delivered request
 // are aborted, in the order of their ids.
 func (c *Conn) fail(code http2.ErrCode, reason string) {
--- a/internal/h2/wire/send.go
+++ b/internal/h2/wire/send.go
@@ -68,7 +68,7 @@
 		s.unsent = s.unsent[n:]
 		s.sendWindow, c.sendWindow, c.unsentBytes = s.sendWindow-n, c.sendWindow-n, c.unsentBytes-int(n)
 		s.progressAt, c.progressAt = c.now, c.now
-		c.overheadTokens = min(c.limits.Overhead.Burst, c.overheadTokens+overheadCreditPerData)
+		c.creditDataFrame()
 		if last {
 			c.finishSend(s)
 		} else {
--- a/internal/h2/wire/settings.go
+++ b/internal/h2/wire/settings.go
@@ -54,7 +54,7 @@
 // handleWindowUpdate processes WINDOW_UPDATE. Each is charged as overhead; sendPending returns the tokens for every DATA
 // frame that it sends.
 func (c *Conn) handleWindowUpdate(f *http2.WindowUpdateFrame) {
-	if !c.chargeOverhead(1) {
+	if !c.chargeWindowUpdate() {
 		return
 	}
 	if f.StreamID == 0 {
