Let writes to slow TLS clients go on for as long as they take something

What callers saw: an HTTP/2 client over TLS that reads steadily lost its connection if it did not take a whole piece of output within Clients.WriteTimeout, where clients over plain TCP had only to take some.

Cause: a write of crypto/tls that has timed out fails all later ones, so it could not be continued in steps.

Change: below TLS there is a connection whose writes are made in steps by the same rule as those of plain TCP (gateway.PatientConn).

--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -117,33 +117,10 @@
 	w.writeAsync(rest, stall, maxWriteSteps, core, done)
 }
 
-// writeAsync writes in at most that many steps, each with its own time limit. In every step but the last, the kernel
-// must accept data or the peer must acknowledge some: a slow peer may acknowledge data for a while before the kernel
-// accepts more.
 func (w *Writer) writeAsync(rest []byte, within time.Duration, steps int, core *Core, done func(error)) {
 	w.busy = true
 	go func() {
-		var err error
-		acknowledged := w.bytesAcknowledged()
-		for ; steps > 0 && len(rest) > 0; steps-- {
-			if err = w.conn.SetWriteDeadline(time.Now().Add(within)); err != nil {
-				break
-			}
-			n := 0
-			n, err = w.conn.Write(rest)
-			if rest = rest[n:]; err == nil {
-				continue
-			}
-			before := acknowledged
-			acknowledged = w.bytesAcknowledged()
-			stalled := n == 0 && acknowledged == before
-			if stalled || !errors.Is(err, os.ErrDeadlineExceeded) {
-				break
-			}
-		}
-		if err == nil {
-			err = w.conn.SetWriteDeadline(time.Time{})
-		}
+		_, err := w.writeInSteps(rest, within, steps)
 		core.Post(func() {
 			w.busy = false
 			done(err)
@@ -151,6 +128,55 @@
 	}()
 }
 
+// writeInSteps writes in at most that many steps, each with its own time limit. In every step but the last, the kernel
+// must accept data or the peer must acknowledge some: a slow peer may acknowledge data for a while before the kernel
+// accepts more.
+func (w *Writer) writeInSteps(b []byte, within time.Duration, steps int) (written int, err error) {
+	acknowledged := w.bytesAcknowledged()
+	for ; steps > 0 && written < len(b); steps-- {
+		if err = w.conn.SetWriteDeadline(time.Now().Add(within)); err != nil {
+			return written, err
+		}
+		n := 0
+		n, err = w.conn.Write(b[written:])
+		if written += n; err == nil {
+			continue
+		}
+		before := acknowledged
+		acknowledged = w.bytesAcknowledged()
+		stalled := n == 0 && acknowledged == before
+		if stalled || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+	}
+	if err == nil {
+		err = w.conn.SetWriteDeadline(time.Time{})
+	}
+	return written, err
+}
+
+// PatientConn is a connection to a client whose writes take as long as Writer.WriteAsyncUntilStall. It is for protocols
+// such as TLS, whose own writes can't continue after a timeout. It ignores write deadlines.
+type PatientConn struct {
+	net.Conn
+	writer *Writer
+	stall  func() time.Duration
+}
+
+// NewPatientConn creates a PatientConn on top of the connection of a Writer. stall returns the time for which the peer may take
+// no data.
+func NewPatientConn(w *Writer, stall func() time.Duration) *PatientConn {
+	return &PatientConn{Conn: w.conn, writer: w, stall: stall}
+}
+
+// Write implements net.Conn.
+func (c *PatientConn) Write(b []byte) (int, error) {
+	return c.writer.writeInSteps(b, c.stall(), maxWriteSteps)
+}
+
+// SetWriteDeadline implements net.Conn. It does nothing.
+func (c *PatientConn) SetWriteDeadline(time.Time) error { return nil }
+
 // Shutdown closes the connection for writing and calls done on the event loop once the peer has closed its
 // side, or after a time limit. Until then the connection stays open for incoming data, which is not read, so
 // that a reset does not overtake the data already written.
--- a/internal/gateway/writer_test.go
+++ b/internal/gateway/writer_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
+	"net/http/httptest"
 	"os"
 	"slices"
 	"sync"
@@ -157,3 +159,37 @@
 		t.Errorf("write with a single time limit: %d bytes, error %v", c.took, err)
 	}
 }
+
+// Guards against a TLS client that reads steadily, but slowly, being given up: a write of TLS that has timed out can't
+// be continued, so all of it had to be taken within one time limit.
+func TestWriteAsyncToSlowTLSReader(t *testing.T) {
+	leaks.Check(t)
+	certificates := httptest.NewUnstartedServer(nil)
+	certificates.StartTLS()
+	defer certificates.Close()
+	const stall = 300 * time.Millisecond
+	for name, patient := range map[string]bool{"on the connection": false, "on a patient connection": true} {
+		server, client := connectedPair(t)
+		under := NewClientWriter(server)
+		var conn net.Conn = server
+		if patient {
+			conn = NewPatientConn(under, func() time.Duration { return stall })
+		}
+		tlsServer := tls.Server(conn, &tls.Config{Certificates: certificates.TLS.Certificates})
+		go func() {
+			tlsClient := tls.Client(client, &tls.Config{InsecureSkipVerify: true})
+			for b := make([]byte, 16<<10); ; time.Sleep(20 * time.Millisecond) {
+				if _, err := io.ReadFull(tlsClient, b); err != nil {
+					return
+				}
+			}
+		}()
+		err := await(func(d *Core, done func(error)) {
+			NewWriter(tlsServer).WriteAsyncUntilStall(make([]byte, 2<<20), stall, d, done)
+		})
+		if patient != (err == nil) {
+			t.Errorf("%s: %v", name, err)
+		}
+		server.Close()
+	}
+}
--- a/internal/h2/frontend.go
+++ b/internal/h2/frontend.go
@@ -78,7 +78,8 @@
 	c.writer = gateway.NewClientWriter(nc)
 	c.rawWriter = c.writer
 	if f.tls != nil {
-		c.nc = tls.Server(nc, f.tls.config())
+		stall := func() time.Duration { return core.Tuning().Clients.WriteTimeout }
+		c.nc = tls.Server(gateway.NewPatientConn(c.rawWriter, stall), f.tls.config())
 		c.writer = gateway.NewWriter(c.nc)
 	}
 	limits := wire.DefaultLimits()
