Bound what clients that don't read cost before the loop has handled their commands

Cause: the bounds counted answers that were ready. What a reader had posted and the loop had not handled was bounded by 64 commands a connection, that is 4 MiB; and as each connection could hold 1 MiB of answers, 60 of them held four times what all may hold together, so that connections were closed and commands of new ones read as fast as the machine could.

Change: a reader has at most 64 KiB of commands posted that the loop has not handled (and the command that passes it). A connection reads no further commands once it holds its equal part of the memory for unread answers, which all holders share, or Clients.MaxUnreadBytes, whichever is less.

--- a/internal/gateway/unsent.go
+++ b/internal/gateway/unsent.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// Allowance returns the number of bytes that the connection should hold at most: Clients.MaxUnreadBytes, or an equal part
+// of the memory if many connections hold responses. Frontends read no further requests of a connection that holds
+// more.
+func (u *UnsentResponses) Allowance() int {
+	l := u.core.l
+	equalPart := l.memoryShareBytes() / max(1, len(l.unsent.holders))
+	return max(progressBytes, min(equalPart, l.tuning.Load().Clients.MaxUnreadBytes))
+}
+
 // SetBlocked tells whether bytes wait for the client only, and not for the response to an earlier request.
 func (u *UnsentResponses) SetBlocked(blocked bool) {
 	if blocked && !u.blocked {
--- a/internal/resp/client.go
+++ b/internal/resp/client.go
@@ -43,6 +43,7 @@
 	now := core.Now()
 	c := &client{core: core, conn: nc, writer: gateway.NewClientWriter(nc), acceptedAt: now, lastUsed: now, resume: gateway.NewMailbox[struct{}]()}
 	c.unsent = core.NewUnsentResponses(c)
+	c.intake.maxHeldBytes.Store(int64(c.unsent.Allowance()))
 	return c
 }
 
@@ -56,6 +57,7 @@
 // commandBatch is a batch of commands that the reader posts to the loop.
 type commandBatch struct {
 	commands      []parsedCommand
+	bytes         int  // size of the commands as received
 	last          bool // the reader has stopped after this batch
 	protocolError bool // the client violated the protocol
 }
@@ -80,6 +82,10 @@
 	if len(batch.commands) > 0 {
 		c.flush()
 		c.holdAll()
+		c.updateIntake(progress{handledBytes: batch.bytes})
+	}
+	if c.closed {
+		return
 	}
 	if batch.last {
 		c.closing, c.readDone = true, true
@@ -167,7 +173,7 @@
 	if len(rest) > 0 {
 		c.writer.WriteAsyncUntilStall(rest, c.core.Tuning().Clients.WriteTimeout, c.core, c.finishWrite)
 	}
-	c.updateIntake(replies)
+	c.updateIntake(progress{replies: replies})
 }
 
 // finishWrite handles the end of a write that the kernel did not take at once.
@@ -181,7 +187,7 @@
 	c.lastUsed = c.core.Now()
 	c.unsent.Taken(c.writing)
 	c.writing = 0
-	c.updateIntake(0)
+	c.updateIntake(progress{})
 	c.flush()
 }
 
@@ -199,7 +205,7 @@
 	}
 	p.held = p.size()
 	c.readyBytes += p.held
-	c.updateIntake(0)
+	c.updateIntake(progress{})
 }
 
 // holdAll accounts for all replies that are ready and not yet accounted for.
@@ -211,12 +217,15 @@
 	}
 }
 
-// updateIntake updates the account of held bytes after that many replies were handed to the writer, and wakes the
-// reader if it waits for room that there is now.
-func (c *client) updateIntake(replies int) {
+// updateIntake updates the account of held bytes and the intake, and wakes the reader if it waits for room that there is
+// now.
+func (c *client) updateIntake(p progress) {
+	if c.closed {
+		return
+	}
 	held := c.readyBytes + c.writing
 	c.unsent.Set(held)
-	if c.intake.update(replies, held) {
+	if c.intake.update(p, held, c.unsent.Allowance()) {
 		c.resume.TrySend(struct{}{})
 		if !c.readDone {
 			c.wakeReader()
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -1,7 +1,6 @@
 package resp
 
 import (
-	"bytes"
 	"errors"
 	"net"
 	"os"
@@ -119,16 +118,14 @@
 
 // dispatch posts the complete commands in the buffer if the intake has room.
 func (r *reader) dispatch() error {
-	// Stored before unanswered grows, so that the loop wakes the reader at the same limits.
-	limits, intake := &r.client.core.Tuning().Clients, &r.client.intake
-	intake.maxUnanswered.Store(int32(limits.MaxPipeline))
-	intake.maxHeldBytes.Store(int64(limits.MaxUnreadBytes))
-	r.blocked = len(r.buf) > 0 && intake.full()
+	// Stored before unanswered grows, so that the loop wakes the reader at the same limit.
+	r.client.intake.maxUnanswered.Store(int32(r.client.core.Tuning().Clients.MaxPipeline))
+	r.blocked = len(r.buf) > 0 && r.client.intake.full()
 	if r.blocked || len(r.buf) == 0 {
 		return nil
 	}
 	cmds, consumed, protocolErr := r.parseCommands()
-	r.post(commandBatch{commands: cmds})
+	r.post(commandBatch{commands: cmds, bytes: consumed})
 	if r.buf = r.buf[:copy(r.buf, r.buf[consumed:])]; len(r.buf) == 0 && cap(r.buf) > clientBufferSize {
 		r.buf = make([]byte, 0, clientBufferSize)
 	}
@@ -162,7 +159,7 @@
 	if len(batch.commands) == 0 && !batch.last {
 		return
 	}
-	r.client.intake.unanswered.Add(int32(len(batch.commands)))
+	r.client.intake.add(len(batch.commands), batch.bytes)
 	r.client.core.Post(func() { r.client.handleBatch(batch) })
 }
 
@@ -181,7 +178,7 @@
 		return parsedCommand{request: cmd}
 	case "PING":
 		if len(args) == 2 {
-			return parsedCommand{reply: redcon.AppendBulk(nil, bytes.Clone(args[1]))}
+			return parsedCommand{reply: redcon.AppendBulk(nil, args[1])}
 		}
 		return parsedCommand{reply: redcon.AppendString(nil, "PONG")}
 	case "CLIENT", "SELECT":
