Keep short answers as they are when the memory for unread answers is full

A refusal that had to wait became an error, which says less and saves no memory. Only a value or reply that is longer than the error is replaced.

--- a/internal/h2/frontend.go
+++ b/internal/h2/frontend.go
@@ -244,7 +244,7 @@
 	}
 	r.done = true
 	delete(r.conn.requests, r.stream)
-	if !r.conn.hasRoom(len(res.Value)) {
+	if len(res.Value) > 0 && !r.conn.hasRoom(len(res.Value)) {
 		res = gateway.UnsentLimitResponse()
 	}
 	out := newResponse(res)
--- a/internal/resp/client.go
+++ b/internal/resp/client.go
@@ -192,12 +192,12 @@
 }
 
 // hold accounts for a reply that is ready and waits for the client to take earlier ones, or for an earlier command.
-// If there is no memory for it, an error takes its place.
+// If there is no memory for a long one, an error takes its place.
 func (c *client) hold(p *pendingReply) {
 	if c.closed || p.sent {
 		return
 	}
-	if !c.unsent.MakeRoom(p.size()) {
+	if p.isLong() && !c.unsent.MakeRoom(p.size()) {
 		p.discardValue()
 	}
 	if c.closed { // to make room
--- a/internal/resp/reply.go
+++ b/internal/resp/reply.go
@@ -32,7 +32,10 @@
 // size is the memory, in bytes, that the reply holds.
 func (p *pendingReply) size() int { return len(p.reply) + len(p.response.Value) + replyOverhead }
 
-// discardValue replaces a reply for which there is no memory by an error.
+// isLong reports whether the reply holds more memory than an error in its place would.
+func (p *pendingReply) isLong() bool { return len(p.reply)+len(p.response.Value) > replyOverhead }
+
+// discardValue replaces a long reply for which there is no memory by an error.
 func (p *pendingReply) discardValue() {
 	p.reply = nil
 	p.response = gateway.UnsentLimitResponse()
