Don't time a command while its rest is not read

What callers saw: a client that had sent a part of a long command behind a full pipeline was told, once there was room again, that the command did not end in time.

Cause: with 16 KiB read ahead the reader waits for room without reading, and the command's time went on. The bounds on unread answers make such waits more frequent.

Change: the time starts anew when the reader goes on.

--- a/internal/resp/eventorder_test.go
+++ b/internal/resp/eventorder_test.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -75,6 +76,28 @@
 	}
 }
 
+// Guards against a command being given up as unfinished because its rest was not read while the pipeline was full.
+func TestCommandIsNotTimedWhileItIsNotRead(t *testing.T) {
+	h := newHarness(t, longAim)
+	h.updateTuning(func(t *tuning.Tuning) { t.Clients.MaxPipeline, t.Clients.ReadTimeout = 1, 400*time.Millisecond })
+	slow, c, peer := h.openRequest("slow")
+	command := encodeCommand("PING", strings.Repeat("x", 3*maxReadAhead))
+	mustWrite(t, peer, command[:maxReadAhead])
+	time.Sleep(2 * h.tuning.Clients.ReadTimeout)
+	mustWrite(t, h.completeDial(slow), testbed.FormatReply("v"))
+	h.waitFor("the first reply", func() bool { return len(c.pending) == 0 })
+	time.Sleep(50 * time.Millisecond) // time for the reader to look for the rest; if it is slower, the test still passes
+	mustWrite(t, peer, command[maxReadAhead:])
+	want := bulk("v") + bulk(strings.Repeat("x", 3*maxReadAhead))
+	h.runClient(c, func() error {
+		got := make([]byte, len(want))
+		if _, err := io.ReadFull(peer, got); err != nil || string(got) != want {
+			return fmt.Errorf("got %.100q, %v", got, err)
+		}
+		return nil
+	})
+}
+
 // A client fills the pipeline, sends more commands and closes the connection. The close must be detected although the
 // reader posts nothing more: the commands that wait must not reach the core, and the open request must be abandoned.
 func TestClientClosesWithFullPipeline(t *testing.T) {
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -120,7 +120,11 @@
 func (r *reader) dispatch() error {
 	// Stored before unanswered grows, so that the loop wakes the reader at the same limit.
 	r.client.intake.maxUnanswered.Store(int32(r.client.core.Tuning().Clients.MaxPipeline))
+	wasBlocked := r.blocked
 	r.blocked = len(r.buf) > 0 && r.client.intake.full()
+	if wasBlocked && !r.blocked {
+		r.timerStart = time.Now() // the rest of a command was not read meanwhile
+	}
 	if r.blocked || len(r.buf) == 0 {
 		return nil
 	}
