--- a/internal/gateway/unsent.go
+++ b/internal/gateway/unsent.go
@@ -53,6 +53,9 @@
 
 // Set sets the number of bytes that the connection holds.
 func (u *UnsentResponses) Set(bytes int) {
+	if bytes == u.bytes {
+		return
+	}
 	total := &u.core.l.unsent
 	total.bytes += bytes - u.bytes
 	u.bytes = bytes
