--- a/review/standins-2/leave.go
+++ b/review/standins-2/leave.go
@@ -51,8 +51,8 @@
 	return broken
 }
 
-func usualWork(class string) time.Duration {
-	if class == "slot-book" {
+func usualWork(a arrival) time.Duration {
+	if a.class == "slot-book" {
 		return 140 * time.Millisecond
 	}
 	return 65 * time.Millisecond
@@ -149,8 +149,8 @@
 
 // leavePipeline: a client sends some hundred commands at once and goes.
 func leavePipeline(p *play) ([]string, error) {
-	work := func(class string) time.Duration {
-		if class == "slot-book" {
+	work := func(a arrival) time.Duration {
+		if a.class == "slot-book" {
 			return 240 * time.Millisecond // some above the mean, and the servers are in use
 		}
 		return 65 * time.Millisecond
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -82,7 +82,7 @@
 }
 
 // deploy starts servers, discovery and gateways.
-func (p *play) deploy(d deployment, servers, cellSize, slots, queue int, work func(class string) time.Duration) error {
+func (p *play) deploy(d deployment, servers, cellSize, slots, queue int, work func(a arrival) time.Duration) error {
 	p.fleet = &fleet{rec: p.rec, work: work}
 	for i := range servers {
 		s, err := p.fleet.start(fmt.Sprintf("s-%02d", i), i/cellSize, slots, queue)
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -24,7 +24,7 @@
 type fleet struct {
 	rec     *recorder
 	servers []*server
-	work    func(class string) time.Duration
+	work    func(a arrival) time.Duration
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -198,7 +198,7 @@
 	case <-gone:
 		return ""
 	}
-	t := time.NewTimer(s.fleet.work(a.class))
+	t := time.NewTimer(s.fleet.work(a))
 	defer t.Stop()
 	select {
 	case <-t.C:
