Review case 8: drains are never heard of from discovery that answers 5 s late

The case: discovery can be reached and answers each call whole and 5 s late; three of twelve servers begin to drain.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -7,4 +7,4 @@
 	echo "bin/sloepick or bin/review-standins-2 is missing" >&2
 	exit 2
 fi
-exec bin/review-standins-2 leave-stop "$here/record.txt"
+exec bin/review-standins-2 leave-pipeline "$here/record.txt"
--- a/review/standins-2/discovery.go
+++ b/review/standins-2/discovery.go
@@ -35,6 +35,7 @@
 	mu      sync.Mutex
 	list    list
 	changed chan struct{}
+	slow    time.Duration // every answer comes so much later
 }
 
 func startDiscovery(servers []entry) (*discovery, error) {
@@ -52,6 +53,41 @@
 
 func (d *discovery) close() { d.web.Close() }
 
+// slowDown makes every answer from now on come so much later.
+func (d *discovery) slowDown(by time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slow = by
+}
+
+// drain tells that a server drains, to watches too. It returns when.
+func (d *discovery) drain(id string) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	servers := append([]entry(nil), d.list.Servers...)
+	for i := range servers {
+		if servers[i].ID == id {
+			servers[i].State = "draining"
+		}
+	}
+	d.list = list{d.list.Version + 1, true, servers}
+	close(d.changed)
+	d.changed = make(chan struct{})
+	return time.Now()
+}
+
+// answer writes a list, late if the answers are slow.
+func (d *discovery) answer(w http.ResponseWriter, r *http.Request, l list) {
+	d.mu.Lock()
+	slow := d.slow
+	d.mu.Unlock()
+	select {
+	case <-time.After(slow):
+		json.NewEncoder(w).Encode(l)
+	case <-r.Context().Done():
+	}
+}
+
 func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.Atoi(r.URL.Query().Get("after"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
@@ -61,13 +97,13 @@
 		now, changed := d.list, d.changed
 		d.mu.Unlock()
 		if err != nil || now.Version > after {
-			json.NewEncoder(w).Encode(now)
+			d.answer(w, r, now)
 			return
 		}
 		select {
 		case <-changed:
 		case <-end:
-			json.NewEncoder(w).Encode(list{now.Version, false, []entry{}})
+			d.answer(w, r, list{now.Version, false, []entry{}})
 			return
 		case <-r.Context().Done():
 			return
--- a/review/standins-2/half.go
+++ b/review/standins-2/half.go
@@ -12,9 +12,7 @@
 	"time"
 )
 
-func init() {
-	cases["half-commands"] = halfCommands
-}
+func init() { cases["half-commands"] = halfCommands }
 
 // memoryHeld returns the memory that a process holds, in MB, as the platform sees it.
 func memoryHeld(pid int) (mb float64, err error) {
--- a/review/standins-2/leave.go
+++ b/review/standins-2/leave.go
@@ -3,19 +3,13 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"fmt"
 	"net"
-	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
-func init() {
-	cases["leave-pipeline"] = leavePipeline
-	cases["leave-stop"] = leaveAtStop
-}
+func init() { cases["leave-pipeline"] = leavePipeline }
 
 // leaveSlack is how long after a client has closed its connection an attempt may still begin: 0.1 s, and 50 ms more
 // on sockets.
@@ -58,95 +52,6 @@
 	return 65 * time.Millisecond
 }
 
-// leaveAtStop: a gateway is told to end while a third of the servers hang; clients whose requests are open there give
-// up early and close their connections.
-func leaveAtStop(p *play) ([]string, error) {
-	if err := p.deploy(deployment{gateways: 3, sockets: 1024, memoryMB: 192}, 12, 4, 4, 32, usualWork); err != nil {
-		return nil, err
-	}
-	var load []*usual
-	for i := range p.gateways {
-		load = append(load, p.startUsual(i, 10, 4))
-	}
-	time.Sleep(3 * time.Second)
-	const clients = 24
-	var conns []net.Conn
-	for i := range clients { // in use a moment ago
-		c, err := net.Dial("tcp", p.gateways[0].addr)
-		if err != nil {
-			return nil, err
-		}
-		defer c.Close()
-		q := request{id: fmt.Sprintf("w-%d", i), customer: fmt.Sprintf("%016x", 0x9000+i), plan: "network", class: "slot-lookup",
-			wait: 1200 * time.Millisecond, units: 1, spread: 3}
-		c.SetDeadline(time.Now().Add(5 * time.Second))
-		if _, err := c.Write(q.encode()); err != nil {
-			return nil, err
-		}
-		conns = append(conns, c)
-	}
-	for _, c := range conns {
-		if _, err := readAnswer(bufio.NewReader(c)); err != nil {
-			return nil, err
-		}
-	}
-	if p.trouble {
-		p.gateways[0].signal(syscall.SIGTERM)
-	}
-	time.Sleep(350 * time.Millisecond)
-	if p.trouble {
-		for i, s := range p.fleet.servers {
-			if i%3 == 0 {
-				p.rec.say("server %s hangs", s.id)
-				s.hang(true)
-			}
-		}
-	}
-	var gone departures
-	for i, c := range conns {
-		time.Sleep(3 * time.Millisecond)
-		q := request{id: fmt.Sprintf("x-%d", i), customer: fmt.Sprintf("%016x", 0x9000+i), plan: "network", class: "slot-book",
-			key: fmt.Sprintf("x-%d", i), wait: 6 * time.Second, units: 1, spread: 3}
-		p.rec.say("client sends %s", q.id)
-		if _, err := c.Write(q.encode()); err != nil {
-			p.rec.say("client can't send %s: %v", q.id, err)
-			continue
-		}
-		go func() {
-			rd := bufio.NewReader(c)
-			c.SetReadDeadline(time.Now().Add(250 * time.Millisecond)) // then it gives up
-			answer, err := readAnswer(rd)
-			switch {
-			case err == nil:
-				p.rec.say("client of %s gets %s", q.id, answer)
-			case errors.Is(err, os.ErrDeadlineExceeded):
-				gone.leave(p, time.Now(), q.id)
-				c.Close()
-			default:
-				p.rec.say("client of %s: %v", q.id, err)
-			}
-		}()
-	}
-	time.Sleep(2 * time.Second)
-	for _, s := range p.fleet.servers {
-		s.hang(false)
-	}
-	if p.trouble {
-		select {
-		case <-p.gateways[0].exited:
-		case <-time.After(5 * time.Second):
-		}
-		if err := p.gateways[0].start(); err != nil {
-			return nil, err
-		}
-	}
-	time.Sleep(time.Second)
-	for _, u := range load {
-		u.end()
-	}
-	return gone.check(p), nil
-}
-
 // leavePipeline: a client sends some hundred commands at once and goes.
 func leavePipeline(p *play) ([]string, error) {
 	work := func(a arrival) time.Duration {
--- a/review/standins-2/told.go
+++ b/review/standins-2/told.go
@@ -8,9 +8,7 @@
 	"time"
 )
 
-func init() {
-	cases["told"] = toldTime
-}
+func init() { cases["told"] = toldTime }
 
 // toldSlack is by how much the time that an attempt tells its server may exceed what is left to the client.
 const toldSlack = 150 * time.Millisecond
