Review: the stand-ins end their gateways also when their output is closed

Cause: a write to a closed standard output ended the run by SIGPIPE, and its gateways went on. Seen after runs whose output was cut by a pipe; the scripts themselves left none. A run that is told to end now removes its folder, too.

Measured: a run that gets SIGTERM ends with 2 and leaves no process and no folder; case 9 with its output cut after one line leaves none.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -53,11 +53,13 @@
 	defer os.RemoveAll(dir)
 	p := &play{rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0", rng: rand.New(rand.NewSource(seed))}
 	defer p.end()
+	signal.Ignore(syscall.SIGPIPE) // a reader of the output that ends must not keep the run from ending its gateways
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	go func() {
 		<-interrupted
 		p.killAll()
+		os.RemoveAll(dir)
 		os.Exit(2)
 	}()
 	broken, err := cases[name](p)
