Don't take the end of an outage for a slow discovery

Change: a late answer counts once the next poll is overdue too, and not if it is answered in time. 12 calls at once instead of 16, as 10 hold the promise: fewer are answered at the return. The log line on late answers follows the same sign.

--- a/internal/discovery/scheduler.go
+++ b/internal/discovery/scheduler.go
@@ -53,11 +53,12 @@
 	nextPoll  time.Duration
 	pollWhole bool // the next poll requests the whole list, although there is one
 
-	lastPoll    time.Duration // when the last poll began
-	lastKept    time.Duration // when the last poll that was kept began
-	lastAnswer  time.Duration
-	lastLate    time.Duration // the last sign that discovery answers late
-	lastOverdue time.Duration // of a watch
+	lastPoll       time.Duration // when the last poll began
+	lastKept       time.Duration // when the last poll that was kept began
+	lastAnswer     time.Duration
+	lastLateAnswer time.Duration // a sign that discovery answers late, unless the next poll is answered in time: then it was silent
+	lastLate       time.Duration // the last sign that discovery answers late
+	lastOverdue    time.Duration // of a watch
 }
 
 // callState is a call in progress.
@@ -87,7 +88,7 @@
 	s.watching = false
 	s.uncertain = false
 	s.polling, s.nextPoll = true, firstPoll
-	s.lastKept, s.lastAnswer, s.lastLate, s.lastOverdue = past, past, past, past
+	s.lastKept, s.lastAnswer, s.lastLateAnswer, s.lastLate, s.lastOverdue = past, past, past, past, past
 }
 
 // Move tells that discovery is to be asked at an address from now on, as after a reload. If the address is new, versions start
@@ -130,11 +131,8 @@
 		c.overdue = true
 		if c.Wait > 0 {
 			s.watchOverdue(now, c)
-		} else if c.sent-s.lastKept >= s.timing.PollInterval {
-			s.lastKept = c.sent
 		} else {
-			s.cancelIf(func(other *callState) bool { return other == c })
-			return
+			s.pollOverdue(c)
 		}
 	}
 	if !c.late && now >= s.lateAt(c) {
@@ -146,6 +144,18 @@
 	}
 }
 
+// pollOverdue keeps a poll that was not answered soon, or cancels it if one that began not long before it is kept.
+func (s *Scheduler) pollOverdue(c *callState) {
+	if c.generation == s.generation {
+		s.lastLate = max(s.lastLate, s.lastLateAnswer)
+	}
+	if c.sent-s.lastKept >= s.timing.PollInterval {
+		s.lastKept = c.sent
+	} else {
+		s.cancelIf(func(other *callState) bool { return other == c })
+	}
+}
+
 // overdueAt returns when a call is overdue.
 func (s *Scheduler) overdueAt(c *callState) time.Duration {
 	if c.Wait > 0 {
@@ -221,6 +231,9 @@
 // before its answer, none would ever be heard.
 func (s *Scheduler) dropOne() {
 	dropped := s.calls[1]
+	if i := slices.IndexFunc(s.calls[1:], func(c *callState) bool { return c.overdue }); i >= 0 {
+		dropped = s.calls[1+i]
+	}
 	s.cancelIf(func(c *callState) bool { return c == dropped })
 }
 
@@ -265,7 +278,7 @@
 func (s *Scheduler) rate(now time.Duration, c *callState, a Answer) {
 	s.lastAnswer = now
 	if c.late {
-		s.lastLate = now
+		s.lastLateAnswer = now
 		return
 	}
 	took := now - c.sent
@@ -286,11 +299,15 @@
 		return
 	}
 	s.watching = true
-	if now-s.lastLate >= s.timing.SettleTime {
+	s.lastLateAnswer = past
+	if !s.AnswersLate(now) {
 		s.polling = false
 	}
 }
 
+// AnswersLate reports whether there was a sign not long ago that discovery answers late.
+func (s *Scheduler) AnswersLate(now time.Duration) bool { return now-s.lastLate < s.timing.SettleTime }
+
 // Failed handles a call that ended without a valid answer.
 func (s *Scheduler) Failed(now time.Duration, id int) {
 	if c := s.remove(id); c != nil {
--- a/internal/discovery/simulation_test.go
+++ b/internal/discovery/simulation_test.go
@@ -23,6 +23,7 @@
 type service struct {
 	changes  []time.Duration
 	delay    func(call Call, sampled time.Duration) time.Duration // of an answer; negative: there is none
+	heldUp   func(at time.Duration) time.Duration                 // when an answer that would come at a time comes; nil: at that time
 	lagging  bool                                                 // it looks at its list when it answers, not when the call comes or its wait ends
 	allWhole bool                                                 // it answers with whole lists whatever was asked for
 }
@@ -53,6 +54,9 @@
 		return 0, Answer{}, false
 	}
 	at = sampled + delay
+	if d.heldUp != nil {
+		at = d.heldUp(at)
+	}
 	if d.lagging {
 		sampled = at
 	}
@@ -402,6 +406,30 @@
 	}
 }
 
+// Guards against taking an outage for a slow discovery, which would get more calls, when all calls that waited are answered at its
+// end.
+func TestOutageIsNotSlowness(t *testing.T) {
+	const from, until = 20 * time.Second, 28 * time.Second
+	for lost := time.Duration(0); lost < 4*time.Second; lost += 90 * time.Millisecond { // before the outage; other watches begin
+		s := &service{delay: constantDelay(time.Millisecond), changes: []time.Duration{from - 5*time.Second + lost, from + 5*time.Second}}
+		s.heldUp = func(at time.Duration) time.Duration {
+			if at >= from && at < until {
+				return until
+			}
+			return at
+		}
+		play := &simulation{service: s, until: until + time.Minute}
+		play.run()
+		play.check(t, until)
+		if heard := play.heard[3]; heard == 0 || heard > until+300*time.Millisecond {
+			t.Errorf("the change was heard at %v", heard)
+		}
+		if calls := play.callsIn(until, until+30*time.Second); calls > 9 {
+			t.Errorf("%d calls in the 30 s after the outage", calls)
+		}
+	}
+}
+
 // Guards against reloads that keep a slow discovery from being heard: each one canceled the calls that were waiting.
 func TestReloadsWhileDiscoveryIsSlow(t *testing.T) {
 	for _, delay := range []time.Duration{time.Millisecond, time.Second, 3 * time.Second, 5 * time.Second} {
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -33,7 +33,7 @@
 		SettleTime:      6 * time.Second,
 		RecurrenceTime:  30 * time.Second,
 		GiveUpTime:      30 * time.Second,
-		MaxCalls:        16,
+		MaxCalls:        12,
 		MaxOlderAnswers: 3,
 	}
 }
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		w.log.warn("discovery is failing", err)
 	}
-	if delay := time.Since(call.sent) - call.Wait; delay > w.timing.Grace {
+	if delay := time.Since(call.sent) - call.Wait; delay > w.timing.Grace && w.scheduler.AnswersLate(time.Since(w.start)) {
 		w.lateLog.warn("discovery answers late", fmt.Errorf("an answer took %v", delay.Round(time.Second/2)))
 	}
 	if use {
