Test a discovery that is slow by turns or by chance; keep late answers as a sign

The tests before passed without each of three guards (late answers, calls that become late while others are in time, a second overdue watch): the delays by turns that they drew didn't need them. New: eight of ten and seven of twelve seconds late, and answers that are late by chance; each guard taken out fails one now. A late answer stays a sign when the next poll is in time: what matters is whether a later one is overdue, and the reset changed nothing that a test could show.

--- a/internal/discovery/scheduler.go
+++ b/internal/discovery/scheduler.go
@@ -56,7 +56,7 @@
 	lastPoll       time.Duration // when the last poll began
 	lastKept       time.Duration // when the last poll that was kept began
 	lastAnswer     time.Duration
-	lastLateAnswer time.Duration // a sign that discovery answers late, unless the next poll is answered in time: then it was silent
+	lastLateAnswer time.Duration // a sign that discovery answers late if a poll is overdue after it; otherwise discovery was silent and is back
 	lastLate       time.Duration // the last sign that discovery answers late
 	lastOverdue    time.Duration // of a watch
 }
@@ -299,7 +299,6 @@
 		return
 	}
 	s.watching = true
-	s.lastLateAnswer = past
 	if !s.AnswersLate(now) {
 		s.polling = false
 	}
--- a/internal/discovery/simulation_test.go
+++ b/internal/discovery/simulation_test.go
@@ -330,6 +330,8 @@
 			"each second second":   func(_ Call, sampled time.Duration) bool { return sampled/time.Second%2 == 0 },
 			"one second of five":   func(_ Call, sampled time.Duration) bool { return sampled/time.Second%5 == 0 },
 			"four seconds of five": func(_ Call, sampled time.Duration) bool { return sampled/time.Second%5 > 0 },
+			"eight seconds of ten": func(_ Call, sampled time.Duration) bool { return sampled/time.Second%10 < 8 },
+			"seven of twelve":      func(_ Call, sampled time.Duration) bool { return sampled/time.Second%12 < 7 },
 			"watches":              func(call Call, _ time.Duration) bool { return call.Wait > 0 },
 			"polls":                func(call Call, _ time.Duration) bool { return call.Wait == 0 },
 		} {
@@ -351,6 +353,29 @@
 	}
 }
 
+// Guards against the same where each answer is late or in time by chance.
+func TestDiscoveryThatIsSlowByChance(t *testing.T) {
+	seeds.Run(t, []uint64{1, 2}, func(t *testing.T, seed uint64) {
+		r := seeds.Rand(seed)
+		for range seeds.Rounds(500) {
+			inTime := 0.1 + 0.8*r.Float64()
+			spacing := 50*time.Millisecond + time.Duration(r.Int64N(int64(5*time.Second)))
+			s := &service{changes: changesEvery(spacing, 0, 2*time.Minute), delay: func(Call, time.Duration) time.Duration {
+				if r.Float64() < inTime {
+					return time.Millisecond
+				}
+				return 5 * time.Second
+			}}
+			play := &simulation{service: s, until: 150 * time.Second}
+			play.run()
+			play.check(t, 2*seenAfter)
+			if t.Failed() {
+				t.Fatalf("%.2f of the answers in time, changes %v apart", inTime, spacing)
+			}
+		}
+	})
+}
+
 // Guards against calls that discovery still has to answer although all that they ask for is known.
 func TestKeptCallsEndWithALaterAnswer(t *testing.T) {
 	s := New(0, addrA, DefaultTiming())
