--- a/cmd/sloepick/hostileclients_test.go
+++ b/cmd/sloepick/hostileclients_test.go
@@ -127,10 +127,7 @@
 	if byHTTP2 {
 		addr = endpoints[0].Listen
 	}
-	var load []testbed.Customer
-	for i := range 40 {
-		load = append(load, testbed.Customer{ID: fmt.Sprintf("%016x", i+1), Plan: "network", Rate: 1, GatewayCount: 1})
-	}
+	load := testbed.Customers(40, "network", 1)
 	ctx, stop := context.WithCancel(r.Ctx)
 	defer stop()
 	var group sync.WaitGroup
--- a/internal/daemon/cost_test.go
+++ b/internal/daemon/cost_test.go
@@ -38,9 +38,7 @@
 			before, n := r.cpuTicks(), atomic.Int64{}
 			ctx, cancel := context.WithTimeout(r.ctx, 6*time.Second)
 			load := testbed.LoadGenerator{Gateways: []string{r.endpoint.Listen}, Classes: r.site.Platform.Classes, Seed: 1, OnResult: func(testbed.RequestResult) { n.Add(1) }}
-			for i := range 40 {
-				load.Customers = append(load.Customers, testbed.Customer{ID: fmt.Sprintf("%016x", i+1), Plan: "network", Rate: 20, GatewayCount: 1})
-			}
+			load.Customers = testbed.Customers(40, "network", 20)
 			load.Run(ctx)
 			cancel()
 			t.Logf("%s: %s KB at the start, %.0f us per request over %d", name, memory,
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -316,9 +316,7 @@
 		defer mu.Unlock()
 		results = append(results, e)
 	}}
-	for i := range 10 {
-		load.Customers = append(load.Customers, testbed.Customer{ID: fmt.Sprintf("%016x", i+1), Plan: "plus", Rate: 3, GatewayCount: 1})
-	}
+	load.Customers = testbed.Customers(10, "plus", 3)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/daemon/hedging_test.go
+++ b/internal/daemon/hedging_test.go
@@ -78,9 +78,7 @@
 			took = append(took, e.EndedAt.Sub(e.SentAt))
 		}
 	}}
-	for i := range 20 {
-		load.Customers = append(load.Customers, testbed.Customer{ID: fmt.Sprintf("%016x", i+1), Plan: "network", Rate: 9, GatewayCount: 1})
-	}
+	load.Customers = testbed.Customers(20, "network", 9)
 	load.Run(ctx)
 	slices.Sort(took)
 	percentile := func(q float64) int64 { return took[min(len(took)-1, int(q*float64(len(took))))].Milliseconds() }
--- a/internal/daemon/unreadclients_test.go
+++ b/internal/daemon/unreadclients_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -29,10 +28,7 @@
 	platform.MemoryMB = 64
 	r := e2e.New(t, e2e.Config{Platform: platform, Gateways: 1, Seed: seed, Command: testCommand})
 	r.Start(0, 0)
-	var load []testbed.Customer
-	for i := range 40 {
-		load = append(load, testbed.Customer{ID: fmt.Sprintf("%016x", i+1), Plan: "network", Rate: 1, GatewayCount: 1})
-	}
+	load := testbed.Customers(40, "network", 1)
 	ctx, stop := context.WithCancel(r.Ctx)
 	defer stop()
 	var group sync.WaitGroup
--- a/internal/testbed/load.go
+++ b/internal/testbed/load.go
@@ -22,6 +22,15 @@
 	SurgeTo                    time.Duration
 }
 
+// Customers returns a number of customers of a plan who send at one rate, in requests per second, to a gateway each.
+func Customers(n int, plan string, rate float64) []Customer {
+	customers := make([]Customer, n)
+	for i := range customers {
+		customers[i] = Customer{ID: fmt.Sprintf("%016x", i+1), Plan: plan, Rate: rate, GatewayCount: 1}
+	}
+	return customers
+}
+
 // RequestClass is a class of requests and its share of the load.
 type RequestClass struct {
 	Name     string
