Let polls follow each other while discovery is crowded

Cause, found by a simulation of a discovery that answers calls one after the other: from 0.7 s a call on, polls every 600 ms that don't wait for an answer make it fall behind without end; 299 of 299 changes were not heard in 3 minutes.

Change: an answer that takes more than 6 s, where no promise holds, ends all other calls that wait, and polls follow each other for two minutes, and for as long as answers take 3 s at most: what comes one after the other in 3 s is heard in 6. An answer in time ends this.

The other bounds are untouched.

--- a/internal/discovery/scheduler.go
+++ b/internal/discovery/scheduler.go
@@ -53,6 +53,9 @@
 	nextPoll  time.Duration
 	pollWhole bool // the next poll requests the whole list, although there is one
 
+	sequentialUntil time.Duration // until then one poll follows the other
+	lastDelay       time.Duration // of a late answer
+
 	lastPoll       time.Duration // when the last poll began
 	lastKept       time.Duration // when the last poll that was kept began
 	lastAnswer     time.Duration
@@ -88,6 +91,7 @@
 	s.watching = false
 	s.uncertain = false
 	s.polling, s.nextPoll = true, firstPoll
+	s.sequentialUntil = past
 	s.lastKept, s.lastAnswer, s.lastLateAnswer, s.lastLate, s.lastOverdue = past, past, past, past, past
 }
 
@@ -132,7 +136,7 @@
 		if c.Wait > 0 {
 			s.watchOverdue(now, c)
 		} else {
-			s.pollOverdue(c)
+			s.pollOverdue(now, c)
 		}
 	}
 	if !c.late && now >= s.lateAt(c) {
@@ -145,11 +149,11 @@
 }
 
 // pollOverdue keeps a poll that was not answered soon, or cancels it if one that began not long before it is kept.
-func (s *Scheduler) pollOverdue(c *callState) {
+func (s *Scheduler) pollOverdue(now time.Duration, c *callState) {
 	if c.generation == s.generation {
 		s.lastLate = max(s.lastLate, s.lastLateAnswer)
 	}
-	if c.sent-s.lastKept >= s.timing.PollInterval {
+	if s.sequential(now) || c.sent-s.lastKept >= s.timing.PollInterval {
 		s.lastKept = c.sent
 	} else {
 		s.cancelIf(func(other *callState) bool { return other == c })
@@ -190,19 +194,31 @@
 }
 
 func (s *Scheduler) startPoll(now time.Duration) Call {
-	s.nextPoll = now + s.timing.PollInterval
-	if now-s.lastAnswer > 2*s.timing.PollInterval && !s.watching {
-		s.nextPoll = now + s.timing.ProbeInterval
-	}
-	if keepNext := s.lastKept + s.timing.PollInterval; now < keepNext { // this one won't be kept
-		s.nextPoll = min(s.nextPoll, max(keepNext, now+s.timing.RetryDelay))
-	}
+	s.nextPoll = s.pollAfter(now)
 	s.lastPoll = now
 	whole := s.pollWhole || !s.hasList()
 	s.pollWhole = false
 	return s.start(now, whole, 0)
 }
 
+// pollAfter returns when the poll after one that begins now is due if that is not answered before.
+func (s *Scheduler) pollAfter(now time.Duration) time.Duration {
+	if s.sequential(now) {
+		return now + max(s.timing.PollInterval, 2*s.lastDelay)
+	}
+	next := now + s.timing.PollInterval
+	if now-s.lastAnswer > 2*s.timing.PollInterval && !s.watching {
+		next = now + s.timing.ProbeInterval
+	}
+	if keepNext := s.lastKept + s.timing.PollInterval; now < keepNext { // this one won't be kept
+		next = min(next, max(keepNext, now+s.timing.RetryDelay))
+	}
+	return next
+}
+
+// sequential reports whether one poll follows the other.
+func (s *Scheduler) sequential(now time.Duration) bool { return now < s.sequentialUntil }
+
 func (s *Scheduler) startWatch(now time.Duration) Call {
 	wait := s.timing.Wait
 	if s.uncertain {
@@ -278,7 +294,7 @@
 func (s *Scheduler) rate(now time.Duration, c *callState, a Answer) {
 	s.lastAnswer = now
 	if c.late {
-		s.lastLateAnswer = now
+		s.rateLate(now, now-c.sent-c.Wait)
 		return
 	}
 	took := now - c.sent
@@ -299,11 +315,29 @@
 		return
 	}
 	s.watching = true
+	s.sequentialUntil = past
 	if !s.AnswersLate(now) {
 		s.polling = false
 	}
 }
 
+// rateLate learns from an answer that was late. A discovery that answers calls one after the other and is slow at that falls behind
+// further with each call that is made before the last one was answered.
+func (s *Scheduler) rateLate(now, delay time.Duration) {
+	s.lastLateAnswer = now
+	s.lastDelay = delay
+	switch {
+	case delay > s.timing.CrowdedDelay:
+		s.cancelIf(func(c *callState) bool { return c.overdue })
+		s.sequentialUntil = now + s.timing.SequentialTime
+	case s.sequential(now) && 2*delay <= s.timing.CrowdedDelay:
+		s.sequentialUntil = now + s.timing.SequentialTime
+	}
+	if s.sequential(now) {
+		s.nextPoll = min(s.nextPoll, max(now, s.lastPoll+s.timing.PollInterval))
+	}
+}
+
 // AnswersLate reports whether there was a sign not long ago that discovery answers late.
 func (s *Scheduler) AnswersLate(now time.Duration) bool { return now-s.lastLate < s.timing.SettleTime }
 
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -12,6 +12,8 @@
 	PollInterval    time.Duration // between the starts of polls while discovery answers late, and at least between those that are kept
 	RetryDelay      time.Duration // before the next call if one failed at once or brought nothing at once
 	SettleTime      time.Duration // polls go on for this long after the last sign that discovery answers late
+	CrowdedDelay    time.Duration // an answer that takes longer shows that more calls don't help, and may be what delays it
+	SequentialTime  time.Duration // after that, polls follow each other for this long, and as long as answers take half of CrowdedDelay at most
 	RecurrenceTime  time.Duration // a second overdue watch within it is a sign that discovery answers late
 	GiveUpTime      time.Duration // a call is given up this long after its wait is over
 	MaxCalls        int           // calls in progress at once
@@ -31,6 +33,8 @@
 		PollInterval:    600 * time.Millisecond,
 		RetryDelay:      50 * time.Millisecond,
 		SettleTime:      6 * time.Second,
+		CrowdedDelay:    6 * time.Second,
+		SequentialTime:  2 * time.Minute,
 		RecurrenceTime:  30 * time.Second,
 		GiveUpTime:      30 * time.Second,
 		MaxCalls:        12,
